Lay out the workspace: model, tables, messages and layering rules

The core holds the configuration, its changes and how they apply, the typed rows of the table service and the messages between nodes.

--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-cli. */
+package io.hemlockbend.cli;
--- /dev/null
+++ b/hemlockbend-codec/src/main/java/io/hemlockbend/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-codec. */
+package io.hemlockbend.codec;
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/api/IdempotencyKey.java
@@ -0,0 +1,28 @@
+package io.hemlockbend.core.api;
+
+/**
+ * Identifies a request that may not be repeated; all resends carry the same key.
+ *
+ * @param value the name as text, 1 to 64 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record IdempotencyKey(String value) implements Comparable<IdempotencyKey> {
+
+  /**
+   * Validates the name.
+   *
+   * @throws IllegalArgumentException when the text is no valid name
+   */
+  public IdempotencyKey {
+    Names.require("idempotency key", value);
+  }
+
+  @Override
+  public int compareTo(IdempotencyKey other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** The control messages between nodes. */
+package io.hemlockbend.core.message;
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration and its changes. */
+package io.hemlockbend.core.model;
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-node. */
+package io.hemlockbend.node;
--- /dev/null
+++ b/hemlockbend-platform/src/main/java/io/hemlockbend/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-platform. */
+package io.hemlockbend.platform;
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-testkit. */
+package io.hemlockbend.testkit;
--- /dev/null
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Package of hemlockbend-wire. */
+package io.hemlockbend.wire;
