--- /dev/null
+++ b/hemlockbend-platform/src/main/java/io/hemlockbend/platform/RowPage.java
@@ -0,0 +1,16 @@
+package io.hemlockbend.platform;
+
+import io.hemlockbend.core.table.Row;
+import java.util.List;
+
+/**
+ * The answer to a scan.
+ *
+ * @param rows the rows in the order of their keys
+ */
+public record RowPage(List<Row> rows) {
+  /** Copies the list. */
+  public RowPage {
+    rows = List.copyOf(rows);
+  }
+}
