--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/package-info.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/package-info.java
@@ -1,2 +1,2 @@
-/** Package of hemlockbend-testkit. */
+/** Stand-ins for what surrounds a mesh, a load tool and a checker of recorded traces. */
 package io.hemlockbend.testkit;
