--- a/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
+++ b/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.codec;
 
+import io.hemlockbend.codec.trace.TraceRecord;
 import io.hemlockbend.core.message.PeerMessage;
 import io.hemlockbend.core.model.Change;
 import io.hemlockbend.core.model.DomainState;
@@ -58,6 +59,10 @@
     list(Condition.AtRevision.class, "at-revision", "r");
     list(TransactionOutcome.Applied.class, "applied", "a");
     list(TransactionOutcome.Conflicted.class, "conflicted", "c");
+    list(TraceRecord.Call.class, "call", "c");
+    list(TraceRecord.Run.class, "run", "r");
+    list(TraceRecord.Decision.class, "decision", "d");
+    list(TraceRecord.Applied.class, "applied", "a");
   }
 
   private TypeNames() {}
--- a/hemlockbend-codec/src/test/java/io/hemlockbend/codec/RoundTripTest.java
+++ b/hemlockbend-codec/src/test/java/io/hemlockbend/codec/RoundTripTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hemlockbend.codec.trace.TraceHeader;
+import io.hemlockbend.codec.trace.TraceRecord;
 import io.hemlockbend.core.api.DecisionRecord;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.message.PeerMessage;
@@ -34,7 +36,8 @@
         RowValue.class,
         RowWrite.class,
         Condition.class,
-        TransactionOutcome.class);
+        TransactionOutcome.class,
+        TraceRecord.class);
   }
 
   static Stream<Class<?>> records() {
@@ -44,7 +47,8 @@
         Row.class,
         Member.class,
         DecisionRecord.class,
-        AnnouncementBody.class);
+        AnnouncementBody.class,
+        TraceHeader.class);
   }
 
   @ParameterizedTest
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/http/BlockingServer.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/http/BlockingServer.java
@@ -20,6 +20,7 @@
 
   private final Server server;
   private final ServerConnector connector;
+  private final int port;
 
   /**
    * Makes a server and starts it.
@@ -46,16 +47,17 @@
     } catch (Exception e) {
       throw new IllegalStateException("can't listen on " + host + ":" + port, e);
     }
+    this.port = connector.getLocalPort();
   }
 
-  /** Returns the port that it listens on. */
+  /** Returns the port that it listens on, or listened on before it crashed. */
   public int port() {
-    return connector.getLocalPort();
+    return port;
   }
 
   /** Returns the root of its interface. */
   public URI uri() {
-    return URI.create("http://" + connector.getHost() + ":" + port());
+    return URI.create("http://" + connector.getHost() + ":" + port);
   }
 
   /** Closes the listener and every connection at once, as when the process dies. */
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Files of recorded traces. */
+package io.hemlockbend.testkit.trace;
