Route by liveness, version split, own failure domain and load

Routing reads one immutable table: filters for liveness, withdrawal and brakes run when it is built, so that a request pays for the look-up of its route, the split and two draws only. The split is by the request's id: a resend meets the same version on every node, and a growing share never sends a request back.

Weighed and left: a random draw for the split (a resend could meet the other version), falling over to the new version when the old has no upstream (it would get all traffic before it earned it; such requests are refused as not run instead).

--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/LivenessFilter.java
@@ -0,0 +1,21 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+
+/**
+ * Admits upstreams that take new work beside nodes that are alive. A suspect node counts as alive
+ * until the suspicion is confirmed, since it may refute it; passive evidence covers the time
+ * between.
+ */
+final class LivenessFilter implements CandidateFilter {
+
+  @Override
+  public boolean admits(Member member, Endpoint endpoint, RoutingInput input) {
+    boolean alive =
+        member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.SUSPECT;
+    return alive && endpoint.state() == EndpointState.READY;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Pool.java
@@ -0,0 +1,19 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.FailureDomain;
+import java.util.List;
+
+/**
+ * The candidates of one version, in all failure domains and in the own.
+ *
+ * @param all the candidates
+ * @param local those in the own failure domain
+ */
+record Pool(List<Candidate> all, List<Candidate> local) {
+  static final Pool NONE = new Pool(List.of(), List.of());
+
+  static Pool of(List<Candidate> candidates, FailureDomain own) {
+    List<Candidate> local = candidates.stream().filter(c -> c.domain().equals(own)).toList();
+    return new Pool(List.copyOf(candidates), local);
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/RoutingTable.java
@@ -0,0 +1,106 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.model.Move;
+import io.hemlockbend.core.model.Route;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All that routing needs, as one immutable value that traffic threads read through one reference:
+ * the configuration in force and the upstreams that may be chosen under it.
+ */
+public final class RoutingTable {
+  private static final List<CandidateFilter> FILTERS =
+      List.of(new LivenessFilter(), new WithdrawalFilter(), new BrakeFilter());
+
+  private final Configuration configuration;
+  private final RouteIndex routes;
+  private final Map<VersionKey, Pool> pools;
+
+  private RoutingTable(Configuration configuration, Map<VersionKey, Pool> pools) {
+    this.configuration = configuration;
+    this.routes = new RouteIndex(configuration.routes().values());
+    this.pools = pools;
+  }
+
+  /**
+   * Makes the table.
+   *
+   * @param input configuration, members, brakes and time
+   */
+  public static RoutingTable build(RoutingInput input) {
+    Map<VersionKey, List<Candidate>> candidates = new HashMap<>();
+    for (Member member : input.members()) {
+      Endpoint endpoint = member.endpoint().orElse(null);
+      if (endpoint == null || !admitted(member, endpoint, input)) {
+        continue;
+      }
+      candidates
+          .computeIfAbsent(endpoint.key(), key -> new ArrayList<>())
+          .add(candidate(member, endpoint, input));
+    }
+    Map<VersionKey, Pool> pools = new HashMap<>();
+    candidates.forEach((key, list) -> pools.put(key, Pool.of(list, input.own())));
+    return new RoutingTable(input.configuration(), pools);
+  }
+
+  private static boolean admitted(Member member, Endpoint endpoint, RoutingInput input) {
+    return FILTERS.stream().allMatch(filter -> filter.admits(member, endpoint, input));
+  }
+
+  private static Candidate candidate(Member member, Endpoint endpoint, RoutingInput input) {
+    int share =
+        RestoreShare.permille(
+            input.configuration().domains().get(member.domain()), input.nowMillis());
+    return new Candidate(
+        endpoint.upstream(),
+        member.id(),
+        endpoint.key(),
+        member.domain(),
+        member.mesh(),
+        endpoint.slots(),
+        share);
+  }
+
+  /** Returns the version of the configuration that the table was made from. */
+  public ConfigurationVersion version() {
+    return configuration.version();
+  }
+
+  /** Returns the configuration that the table was made from. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the route with the longest prefix of a path.
+   *
+   * @param path the request's path
+   */
+  public Optional<Route> route(String path) {
+    return routes.find(path);
+  }
+
+  /** Returns how many upstreams of a version may be chosen. */
+  public int candidates(VersionKey key) {
+    return pool(key).all().size();
+  }
+
+  Pool pool(VersionKey key) {
+    return pools.getOrDefault(key, Pool.NONE);
+  }
+
+  /** Returns the move of a service that is under way, or null. */
+  Move move(ServiceName service) {
+    return configuration.moves().get(service);
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/VersionSplit.java
@@ -0,0 +1,49 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.model.Move;
+import io.hemlockbend.core.model.Service;
+
+/**
+ * Splits a service's traffic between the versions of a move by the request's id, so that a resend
+ * meets the same version through every node, and a growing share never sends a request back.
+ */
+final class VersionSplit {
+  private static final int SPLIT_SALT = 0x9e3779b9;
+  private static final int RESTORE_SALT = 0x85ebca6b;
+
+  private VersionSplit() {}
+
+  /**
+   * Returns the version that the request goes to. Without a usable upstream of the new version it
+   * goes to the old one; never the other way round, since the new one has not earned that share.
+   */
+  static VersionKey choose(RoutingTable table, Service service, RequestId request) {
+    ServiceName name = service.name();
+    VersionKey active = new VersionKey(name, service.active());
+    Move move = table.move(name);
+    if (move == null || ticket(request, SPLIT_SALT) >= move.sharePermille()) {
+      return active;
+    }
+    VersionKey next = new VersionKey(name, move.to());
+    return table.pool(next).all().isEmpty() ? active : next;
+  }
+
+  /** Returns the request's place among the shares of restored failure domains, 0 to 999. */
+  static int restoreTicket(RequestId request) {
+    return ticket(request, RESTORE_SALT);
+  }
+
+  /** Mixes the id's hash with the finalizer of MurmurHash3. */
+  private static int ticket(RequestId request, int salt) {
+    int hash = request.value().hashCode() ^ salt;
+    hash ^= hash >>> 16;
+    hash *= 0x85ebca6b;
+    hash ^= hash >>> 13;
+    hash *= 0xc2b2ae35;
+    hash ^= hash >>> 16;
+    return Math.floorMod(hash, Move.ALL_PERMILLE);
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/WithdrawalFilter.java
@@ -0,0 +1,15 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.model.DomainState;
+
+/** Admits upstreams outside the failure domains that are withdrawn. */
+final class WithdrawalFilter implements CandidateFilter {
+
+  @Override
+  public boolean admits(Member member, Endpoint endpoint, RoutingInput input) {
+    DomainState state = input.configuration().domains().get(member.domain());
+    return !(state instanceof DomainState.Withdrawn);
+  }
+}
