Decide on admission, retries, claims, quarantine and drain

Public API with working decisions for the path of a request, for the shell to build on: AdmissionController (slots, queue, cold start), RetryPolicy and RetryBudget, ClaimLedger (claim row in the table, read back when the answer is lost), CrashTracker and QuarantineList, DrainTracker.

Weighed: a refusal's word speaks of one send, not of earlier sends under the same key, since no node can know those while the platform is away. A claim row is never taken back: a conditional delete can arrive late and remove another node's claim.

No measurements yet; compiled, formatted and linted.

--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/ServiceTimes.java
@@ -0,0 +1,71 @@
+package io.hemlockbend.core.admission;
+
+import io.hemlockbend.core.api.RouteName;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Keeps the usual service time of each route, in milliseconds: a mean that moves slowly, so that a
+ * sudden change stands out against it. Routes are kept apart, since a photo takes longer than a
+ * lookup and a change in their mix must not look like a slow upstream.
+ */
+final class ServiceTimes {
+  private static final int MAX_ROUTES = 256;
+  private static final RouteName OTHER_ROUTES = new RouteName("other");
+
+  private final Map<RouteName, Baseline> routes = new HashMap<>();
+  private final Baseline all = new Baseline();
+
+  /** Takes a sample in and returns whether it is far above the usual time of its route. */
+  boolean slow(RouteName route, double serviceMillis) {
+    Baseline baseline = baseline(route);
+    boolean slow = baseline.exceededBy(serviceMillis);
+    baseline.learn(serviceMillis);
+    all.learn(serviceMillis);
+    return slow;
+  }
+
+  /** Returns the usual service time of a route in milliseconds; 0 when nothing is known. */
+  double expectedMillis(RouteName route) {
+    Baseline baseline = routes.get(route);
+    return baseline == null ? all.mean : baseline.mean;
+  }
+
+  /** Returns the usual service time over all routes in milliseconds; 0 when nothing is known. */
+  double expectedMillis() {
+    return all.mean;
+  }
+
+  private Baseline baseline(RouteName route) {
+    Baseline known = routes.get(route);
+    if (known != null) {
+      return known;
+    }
+    RouteName name = routes.size() < MAX_ROUTES ? route : OTHER_ROUTES;
+    return routes.computeIfAbsent(name, key -> new Baseline());
+  }
+
+  /** An exponentially weighted mean that starts as a plain one. */
+  private static final class Baseline {
+    private static final int WINDOW_SAMPLES = 64;
+    private static final int TRUSTED_SAMPLES = 16;
+    private static final double SLOW_RATIO = 3;
+    private static final double CLAMP_RATIO = 4;
+    private static final double SLOW_MARGIN_MILLIS = 2;
+
+    private double mean;
+    private int samples;
+
+    boolean exceededBy(double millis) {
+      return samples >= TRUSTED_SAMPLES && millis > SLOW_RATIO * mean + SLOW_MARGIN_MILLIS;
+    }
+
+    void learn(double millis) {
+      boolean trusted = samples >= TRUSTED_SAMPLES;
+      double limit = CLAMP_RATIO * mean + SLOW_MARGIN_MILLIS;
+      double sample = trusted ? Math.min(millis, limit) : millis;
+      samples = Math.min(samples + 1, WINDOW_SAMPLES);
+      mean += (sample - mean) / samples;
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/claim/ClaimResolution.java
@@ -0,0 +1,31 @@
+package io.hemlockbend.core.claim;
+
+import io.hemlockbend.core.api.IdempotencyKey;
+
+/** What became of a claim that waited for the table. */
+public sealed interface ClaimResolution {
+  /** Returns the request's key. */
+  IdempotencyKey key();
+
+  /**
+   * The claim is this node's: run the request now, or report that it was not sent.
+   *
+   * @param key the request's key
+   */
+  record Run(IdempotencyKey key) implements ClaimResolution {}
+
+  /**
+   * This send has not run and will not.
+   *
+   * @param key the request's key
+   * @param reason why
+   */
+  record NotRun(IdempotencyKey key, ClaimRefusal reason) implements ClaimResolution {}
+
+  /**
+   * Another process holds the claim and may have run the request.
+   *
+   * @param key the request's key
+   */
+  record MayHaveRun(IdempotencyKey key) implements ClaimResolution {}
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/AttemptEnd.java
@@ -0,0 +1,45 @@
+package io.hemlockbend.core.retry;
+
+import io.hemlockbend.core.admission.RefusalReason;
+
+/** How one try of a request ended that brought no whole answer. */
+public sealed interface AttemptEnd {
+
+  /**
+   * The node beside the upstream refused it before a byte went to the upstream.
+   *
+   * @param reason why
+   */
+  record Refused(RefusalReason reason) implements AttemptEnd {}
+
+  /** No upstream could be chosen. */
+  record NoUpstream() implements AttemptEnd {}
+
+  /** No connection came about; no byte of the request went out. */
+  record NotConnected() implements AttemptEnd {}
+
+  /** The connection broke after bytes of the request went out and before an answer began. */
+  record Broken() implements AttemptEnd {}
+
+  /** No answer began in time after bytes of the request went out. */
+  record TimedOut() implements AttemptEnd {}
+
+  /**
+   * The answer began and ended early.
+   *
+   * @param forwarded whether the caller got a part of it
+   */
+  record Truncated(boolean forwarded) implements AttemptEnd {}
+
+  /** Returns whether an upstream may have run the request in this try. */
+  default boolean mayHaveRun() {
+    return switch (this) {
+      case Refused _ -> false;
+      case NoUpstream _ -> false;
+      case NotConnected _ -> false;
+      case Broken _ -> true;
+      case TimedOut _ -> true;
+      case Truncated _ -> true;
+    };
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/RetryPolicy.java
@@ -0,0 +1,96 @@
+package io.hemlockbend.core.retry;
+
+import io.hemlockbend.core.admission.RefusalReason;
+
+/**
+ * Decides whether a request is tried again and what its caller is told if not.
+ *
+ * <p>A request that may not be repeated is tried again only if no upstream got a byte of it. A try
+ * that a closed upstream refused costs no upstream any work, so that its retry needs no budget; it
+ * is bounded by the number of tries. All other retries come out of the budget. A retry never goes
+ * against a withdrawal or brake: the next choice excludes the failure domain or version. A
+ * quarantined request, and one past its deadline, is not tried again.
+ *
+ * <p>A request whose connection broke may have crashed the upstream, and the report of that crash
+ * may come later than the retry. So the retry runs alone on its upstream, and a second break ends
+ * the tries: one send breaks two upstreams at most.
+ */
+public final class RetryPolicy {
+  private static final int MAX_TRIES = 3;
+  private static final int MAX_BROKEN_TRIES = 2;
+
+  private RetryPolicy() {}
+
+  /**
+   * Decides after a try that brought no whole answer.
+   *
+   * @param attempt what is known of the request
+   * @param budget the retries left for the entry and service
+   * @param nowMillis the time
+   */
+  public static RetryDecision decide(Attempt attempt, RetryBudget budget, long nowMillis) {
+    if (attempt.end() instanceof AttemptEnd.Truncated(boolean forwarded) && forwarded) {
+      return new RetryDecision.AbortCaller();
+    }
+    if (mayTryAgain(attempt, nowMillis) && (free(attempt.end()) || budget.take(nowMillis))) {
+      return new RetryDecision.RetryElsewhere(exclusion(attempt.end()), attempt.brokenTries() > 0);
+    }
+    return giveUp(attempt);
+  }
+
+  private static boolean mayTryAgain(Attempt attempt, long nowMillis) {
+    boolean repeatable = attempt.safe() || !attempt.mayHaveRun();
+    boolean inTime = nowMillis + attempt.expectedMillis() < attempt.deadlineMillis();
+    return repeatable && inTime && attempt.number() < MAX_TRIES && sensible(attempt);
+  }
+
+  private static boolean sensible(Attempt attempt) {
+    if (attempt.brokenTries() >= MAX_BROKEN_TRIES) {
+      return false;
+    }
+    return switch (attempt.end()) {
+      case AttemptEnd.Refused(RefusalReason reason) ->
+          reason != RefusalReason.QUARANTINED && reason != RefusalReason.CANCELLED;
+      case AttemptEnd.NoUpstream _ -> false;
+      case AttemptEnd.NotConnected _ -> true;
+      case AttemptEnd.Broken _ -> true;
+      case AttemptEnd.TimedOut _ -> true;
+      case AttemptEnd.Truncated _ -> true;
+    };
+  }
+
+  private static boolean free(AttemptEnd end) {
+    return end instanceof AttemptEnd.Refused(RefusalReason reason) && reason.closed();
+  }
+
+  private static Exclusion exclusion(AttemptEnd end) {
+    return switch (end) {
+      case AttemptEnd.Refused(RefusalReason reason) when reason == RefusalReason.DOMAIN_WITHDRAWN ->
+          Exclusion.FAILURE_DOMAIN;
+      case AttemptEnd.Refused(RefusalReason reason) when reason == RefusalReason.VERSION_BRAKED ->
+          Exclusion.VERSION;
+      default -> Exclusion.UPSTREAM;
+    };
+  }
+
+  private static RetryDecision giveUp(Attempt attempt) {
+    if (!attempt.mayHaveRun()) {
+      return new RetryDecision.GiveUp(
+          OutcomeWord.NOT_RUN, ResponseHeaders.NOT_RUN_STATUS, reason(attempt.end()));
+    }
+    boolean late = attempt.end() instanceof AttemptEnd.TimedOut;
+    int status = late ? ResponseHeaders.TIMED_OUT_STATUS : ResponseHeaders.BROKEN_STATUS;
+    return new RetryDecision.GiveUp(OutcomeWord.MAY_HAVE_RUN, status, reason(attempt.end()));
+  }
+
+  private static String reason(AttemptEnd end) {
+    return switch (end) {
+      case AttemptEnd.Refused(RefusalReason reason) -> reason.word();
+      case AttemptEnd.NoUpstream _ -> "no-upstream";
+      case AttemptEnd.NotConnected _ -> "not-connected";
+      case AttemptEnd.Broken _ -> "connection-broken";
+      case AttemptEnd.TimedOut _ -> "timed-out";
+      case AttemptEnd.Truncated _ -> "answer-truncated";
+    };
+  }
+}
