--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/brake/BrakeDetector.java
@@ -0,0 +1,45 @@
+package io.hemlockbend.core.brake;
+
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.evidence.EvidenceWindow;
+import io.hemlockbend.core.evidence.Verdict;
+import io.hemlockbend.core.evidence.VersionComparison;
+import io.hemlockbend.core.message.PeerMessage.Brake;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.model.Move;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Finds versions that the node's own evidence condemns. It needs neither the lease nor the
+ * platform: a brake only tightens, so every node that gathers evidence may set one at once.
+ */
+public final class BrakeDetector {
+  private BrakeDetector() {}
+
+  /**
+   * Returns the brakes that the evidence calls for, beside those that bind already.
+   *
+   * @param configuration the configuration in force
+   * @param window the node's evidence
+   * @param known the brakes that the node knows
+   * @param nowMillis the time in milliseconds since the epoch
+   */
+  public static List<Brake> detect(
+      Configuration configuration, EvidenceWindow window, BrakeSet known, long nowMillis) {
+    List<Brake> found = new ArrayList<>();
+    for (Move move : configuration.moves().values()) {
+      VersionKey to = new VersionKey(move.service(), move.to());
+      VersionKey from = new VersionKey(move.service(), move.from());
+      if (known.binds(to)) {
+        continue;
+      }
+      Verdict verdict =
+          VersionComparison.judge(window.strata(from, to, nowMillis), move.startMillis());
+      if (verdict instanceof Verdict.Bad bad) {
+        found.add(new Brake(to, configuration.version(), bad.reason()));
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/ExcessTest.java
@@ -0,0 +1,61 @@
+package io.hemlockbend.core.evidence;
+
+/**
+ * Sums the evidence that events (failures, slow calls) fall on the fresh version more often than
+ * chance would have it.
+ *
+ * <p>Given that {@code f} of the {@code n} calls of a stratum had the event, the number {@code x}
+ * that fell on the fresh version's {@code m} calls is hypergeometric when both versions are alike,
+ * whatever the rate is at that time and in that failure domain. The test multiplies, stratum after
+ * stratum, the likelihood ratio of the binomial with the fresh version's odds raised by a factor
+ * {@code t} against the binomial with {@code p = m / n}:
+ *
+ * <pre>(q / p)^x ((1 - q) / (1 - p))^(f - x), q = t p / (t p + 1 - p)</pre>
+ *
+ * <p>The hypergeometric is smaller than that binomial in convex order (Hoeffding, "Probability
+ * inequalities for sums of bounded random variables", 1963, theorem 4), so the expected ratio is at
+ * most one for like versions. Capping a ratio only lowers it. The product is the safe logrank test
+ * of ter Schure, Perez-Ortiz, Ly and Grunwald (2020).
+ *
+ * <p>Badness may begin late, so the sum restarts at zero whenever it falls below (CUSUM; Page,
+ * 1954). It never exceeds the Shiryaev-Roberts sum, so by Doob's inequality the chance that like
+ * versions ever reach {@code ln c} within {@code k} strata that have events is at most {@code k /
+ * c} for each factor (Shin, Ramdas and Rinaldo, "E-detectors", 2023), however often one looks.
+ */
+final class ExcessTest {
+  private static final double[] ODDS_FACTORS = {3, 10, 50};
+
+  private final double[] sums = new double[ODDS_FACTORS.length];
+
+  /**
+   * Adds a stratum.
+   *
+   * @param oldCalls the predecessor's calls
+   * @param oldEvents those of them with the event
+   * @param freshCalls the fresh version's calls
+   * @param freshEvents those of them with the event
+   * @param cap the most that the stratum may add to the logarithm
+   */
+  void add(long oldCalls, long oldEvents, long freshCalls, long freshEvents, double cap) {
+    long events = oldEvents + freshEvents;
+    if (events == 0 || oldCalls == 0 || freshCalls == 0) {
+      return;
+    }
+    double share = (double) freshCalls / (oldCalls + freshCalls);
+    for (int i = 0; i < sums.length; i++) {
+      double raised = ODDS_FACTORS[i] * share / (ODDS_FACTORS[i] * share + 1 - share);
+      double gain =
+          freshEvents * Math.log(raised / share) + oldEvents * Math.log((1 - raised) / (1 - share));
+      sums[i] = Math.max(0, sums[i] + Math.min(gain, cap));
+    }
+  }
+
+  /** Returns the logarithm of the evidence, at least zero. */
+  double logEvidence() {
+    double highest = 0;
+    for (double sum : sums) {
+      highest = Math.max(highest, sum);
+    }
+    return highest;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
@@ -0,0 +1,55 @@
+package io.hemlockbend.core.rollout;
+
+import io.hemlockbend.core.model.Move;
+
+/**
+ * The steps of a move, computed back from its deadline. The last step is due before the deadline,
+ * so that there is time left when the lease holder dies or the platform is slow.
+ */
+public final class MoveSchedule {
+  /** The share that the last step but one gives, and that keeps the predecessor comparable. */
+  public static final int NEARLY_ALL_PERMILLE = 950;
+
+  /** How long a step is in force at least before the next one opens. */
+  public static final long SETTLE_MILLIS = 5_000;
+
+  private static final int[] SHARES_PERMILLE = {10, 50, 200, 500, NEARLY_ALL_PERMILLE, 1000};
+  private static final int[] DUE_PERMILLE = {0, 150, 300, 450, 600, 850};
+  private static final int PERMILLE = 1000;
+
+  private MoveSchedule() {}
+
+  /** Returns the share of the step after the move's present one. */
+  public static int nextShare(Move move) {
+    return SHARES_PERMILLE[nextIndex(move)];
+  }
+
+  /** Returns when the next step is due, milliseconds since the epoch. */
+  public static long dueMillis(Move move) {
+    return at(move, DUE_PERMILLE[nextIndex(move)]);
+  }
+
+  /**
+   * Returns from when on the next step opens though there were too few calls to judge the version,
+   * milliseconds since the epoch: half way to the time of the step after it.
+   */
+  public static long scarceMillis(Move move) {
+    int index = nextIndex(move);
+    int after = index + 1 < DUE_PERMILLE.length ? DUE_PERMILLE[index + 1] : PERMILLE;
+    return at(move, (DUE_PERMILLE[index] + after) / 2);
+  }
+
+  private static int nextIndex(Move move) {
+    for (int i = 0; i < SHARES_PERMILLE.length; i++) {
+      if (SHARES_PERMILLE[i] > move.sharePermille()) {
+        return i;
+      }
+    }
+    return SHARES_PERMILLE.length - 1;
+  }
+
+  private static long at(Move move, int permille) {
+    long length = move.deadlineMillis() - move.startMillis();
+    return move.startMillis() + length * permille / PERMILLE;
+  }
+}
