Check whole configurations by one class for each rule

ConfigurationChecker walks a configuration once and shows each part to the checks that want its kind; violations are typed and collected, so all faults are named at once.

--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/validation/PathPrefixCheck.java
@@ -0,0 +1,71 @@
+package io.hemlockbend.core.validation;
+
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.model.Route;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+
+/**
+ * Checks that a path prefix begins with a slash, has no empty, {@code .} or {@code ..} segment, no
+ * query, fragment, percent escape, space or control character, and is not too long. Such paths can
+ * be compared byte by byte with the path of a request.
+ *
+ * <p>Property {@code maxLength}: the longest prefix in characters; default {@link #MAX_LENGTH}.
+ *
+ * <p>Example of a violation: route {@code quotes} has the path prefix {@code quotes/}.
+ */
+public final class PathPrefixCheck implements ConfigurationCheck {
+  private static final Pattern CHARACTERS = Pattern.compile("[A-Za-z0-9._~!$&'()*+,;=:@/-]*");
+  private static final Pattern BAD_SEGMENT = Pattern.compile("//|/\\.{1,2}(/|$)");
+
+  /** The default of the longest prefix in characters. */
+  public static final long MAX_LENGTH = 512;
+
+  private final long maxLength;
+
+  /** Makes the check with the default. */
+  public PathPrefixCheck() {
+    this(MAX_LENGTH);
+  }
+
+  /**
+   * Makes the check.
+   *
+   * @param maxLength the longest prefix in characters
+   */
+  public PathPrefixCheck(long maxLength) {
+    this.maxLength = maxLength;
+  }
+
+  @Override
+  public Set<PartKind> wantedKinds() {
+    return EnumSet.of(PartKind.ROUTE);
+  }
+
+  @Override
+  public void visit(ConfigurationPart part, ValidationContext context, Consumer<Violation> found) {
+    if (!(part instanceof ConfigurationPart.RoutePart(RouteName key, Route route))) {
+      return;
+    }
+    String prefix = route.pathPrefix();
+    String fault = fault(prefix);
+    if (fault != null) {
+      found.accept(Violation.of(ViolationKey.PATH_PREFIX_MALFORMED, "route " + key, prefix, fault));
+    }
+  }
+
+  private String fault(String prefix) {
+    if (prefix == null || !prefix.startsWith("/")) {
+      return "it must begin with a slash";
+    }
+    if (prefix.length() > maxLength) {
+      return "it may have at most " + maxLength + " characters";
+    }
+    if (!CHARACTERS.matcher(prefix).matches()) {
+      return "it may hold only plain path characters";
+    }
+    return BAD_SEGMENT.matcher(prefix).find() ? "it may have no empty or dot segment" : null;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/validation/RouteServiceExistsCheck.java
@@ -0,0 +1,30 @@
+package io.hemlockbend.core.validation;
+
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.model.Route;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Checks that each route points at a service of the configuration, so that no proxy holds a route
+ * to a resource that it lacks. No properties.
+ *
+ * <p>Example of a violation: route {@code quotes} points at service {@code quote}, but only {@code
+ * quotes} exists.
+ */
+public final class RouteServiceExistsCheck implements ConfigurationCheck {
+  @Override
+  public Set<PartKind> wantedKinds() {
+    return EnumSet.of(PartKind.ROUTE);
+  }
+
+  @Override
+  public void visit(ConfigurationPart part, ValidationContext context, Consumer<Violation> found) {
+    if (part instanceof ConfigurationPart.RoutePart(RouteName key, Route route)
+        && !context.configuration().services().containsKey(route.service())) {
+      found.accept(
+          Violation.of(ViolationKey.ROUTE_SERVICE_MISSING, "route " + key, route.service()));
+    }
+  }
+}
