Know who is in the mesh by gossip with incarnations and suspicion

Upstreams have no list to read, so nodes spread claims about each other. Claims merge by incarnation, then status, then a fixed order, and the applied version by maximum: the maximum of total orders is commutative, associative and idempotent whatever order messages come in.

Weighed: full state exchange mends lost news but costs 3,100 claims a time; a hash for each of 256 buckets of live members (new message Reconcile) finds the few that differ. The applied version rides on pings and is not gossiped: 3,100 claims a change would not fit 9 KB/s.

A process whose clock jumps by more than 3 s between calls is fenced until two peers answered pings sent since, or the table was read, and the newest configuration named is in force; answers from before the thaw do not count.

VersionMark.NONE and Reconcile are added to core.message.

--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
@@ -0,0 +1,283 @@
+package io.hemlockbend.core.membership;
+
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.message.Outbound;
+import io.hemlockbend.core.message.PeerMessage;
+import io.hemlockbend.core.message.PeerMessage.Ack;
+import io.hemlockbend.core.message.PeerMessage.Brake;
+import io.hemlockbend.core.message.PeerMessage.Join;
+import io.hemlockbend.core.message.PeerMessage.Members;
+import io.hemlockbend.core.message.PeerMessage.Ping;
+import io.hemlockbend.core.message.PeerMessage.PingRequest;
+import io.hemlockbend.core.message.PeerMessage.Reconcile;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/**
+ * Knows who is in the mesh. One thread drives it: it calls {@link #tick} at least every {@code
+ * gossipIntervalMillis}, {@link #receive} for each message, and sends what they return. A message
+ * may be lost, late, doubled or out of order.
+ */
+public final class Membership {
+  private final MemberView view;
+  private final MemberTable table;
+  private final NewsComposer composer;
+  private final ProbeLedger probes = new ProbeLedger();
+  private final Joiner joiner;
+  private final PeriodicDuties duties;
+
+  /**
+   * Makes the state of a node that knows no other.
+   *
+   * @param self what the node says of itself; an incarnation that grows with each start of the
+   *     process, such as its start time, spares a round of refutation
+   * @param settings bounds of the protocol
+   * @param random draws peers and jitter
+   */
+  public Membership(Member self, MembershipSettings settings, RandomGenerator random) {
+    this.view = new MemberView(self, settings, random);
+    this.table = view.table();
+    this.composer = view.composer();
+    this.joiner = new Joiner(random);
+    this.duties = new PeriodicDuties(settings, random, view, probes, joiner);
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param nowMillis the time
+   * @return the messages to send
+   */
+  public List<Outbound> tick(long nowMillis) {
+    return self().status() == MemberStatus.LEFT ? List.of() : duties.due(nowMillis);
+  }
+
+  /**
+   * Takes in a message; messages that do not concern membership are passed over.
+   *
+   * @param message the message
+   * @param nowMillis the time
+   * @return the messages to send
+   */
+  public List<Outbound> receive(PeerMessage message, long nowMillis) {
+    duties.noteTime(nowMillis);
+    return switch (message) {
+      case Ping ping -> receivePing(ping, nowMillis);
+      case Ack ack -> receiveAck(ack, nowMillis);
+      case PingRequest request -> relayPing(request);
+      case Join join -> receiveJoin(join, nowMillis);
+      case Members members -> receiveMembers(members, nowMillis);
+      case Reconcile reconcile -> answerReconcile(reconcile);
+      default -> List.of();
+    };
+  }
+
+  /**
+   * Joins the mesh; the join is sent again with backoff until a node answers.
+   *
+   * @param seeds control addresses of nodes that may be up
+   * @param nowMillis the time
+   * @return the messages to send
+   */
+  public List<Outbound> join(List<NodeAddress> seeds, long nowMillis) {
+    composer.introduceUntil(nowMillis + MembershipSettings.INTRODUCTION_MILLIS);
+    joiner.start(seeds, self().control(), nowMillis);
+    return tick(nowMillis);
+  }
+
+  /**
+   * Leaves the mesh; nothing but this is sent afterwards.
+   *
+   * @param nowMillis the time
+   * @return the messages that tell some peers, who tell the rest
+   */
+  public List<Outbound> leave(long nowMillis) {
+    view.leave();
+    return table.randomLive(composer.transmissions()).stream()
+        .map(peer -> duties.unansweredPing(peer, nowMillis))
+        .toList();
+  }
+
+  /** Announces the upstream beside this node, or that there is none. */
+  public void endpoint(Optional<Endpoint> endpoint) {
+    view.endpoint(endpoint);
+  }
+
+  /** Notes which configuration this node has in force. */
+  public void applied(VersionMark mark) {
+    view.self().applied(mark.version());
+    view.fence().applied(mark);
+  }
+
+  /** Notes that the table was read, and which configuration it named. */
+  public void tableRead(VersionMark mark) {
+    view.fence().tableRead(mark);
+  }
+
+  /** Starts to spread a brake that this node found. */
+  public void spread(Brake brake) {
+    composer.brakes().spread(brake);
+  }
+
+  /** Starts to spread a crash report of this node. */
+  public void spread(Suspicion suspicion) {
+    composer.suspicions().spread(suspicion);
+  }
+
+  /** Returns the brakes that were heard for the first time since the last call. */
+  public List<Brake> receivedBrakes() {
+    return composer.brakes().drain();
+  }
+
+  /** Returns the crash reports that were heard for the first time since the last call. */
+  public List<Suspicion> receivedSuspicions() {
+    return composer.suspicions().drain();
+  }
+
+  /** Forgets the brakes that no longer hold, so that they are sent no more. */
+  public void retainBrakes(Predicate<Brake> holds) {
+    composer.brakes().retain(holds);
+  }
+
+  /** Returns all members known, this node among them. */
+  public Collection<Member> members() {
+    List<Member> members = new ArrayList<>(table.all());
+    members.add(self());
+    return members;
+  }
+
+  /** Returns what is known of a node. */
+  public Optional<Member> find(NodeId id) {
+    return id.equals(view.id()) ? Optional.of(self()) : table.find(id);
+  }
+
+  /** Returns this node's claim about itself. */
+  public Member self() {
+    return view.self().member();
+  }
+
+  /** Returns a counter that grows when a status, an address or an endpoint changes. */
+  public long changes() {
+    return view.changes();
+  }
+
+  /** Returns the newest version that peers recorded for this node, also before a restart. */
+  public ConfigurationVersion recordedApplied() {
+    return view.self().recorded();
+  }
+
+  /** Returns whether this process was frozen and has not caught up since. */
+  public boolean fenced() {
+    return view.fence().fenced();
+  }
+
+  private List<Outbound> receivePing(Ping ping, long nowMillis) {
+    view.learnAll(ping.news(), nowMillis);
+    composer.receive(ping.brakes(), ping.suspicions());
+    view.heard(ping.sender(), ping.mark());
+    if (ping.sequence() == NewsComposer.NO_ANSWER) {
+      return List.of();
+    }
+    return table
+        .find(ping.sender())
+        .map(
+            peer -> {
+              Ack ack = composer.ack(peer, ping.sequence(), nowMillis, view.mark());
+              return List.of(new Outbound(peer.control(), ack));
+            })
+        .orElse(List.of());
+  }
+
+  private List<Outbound> receiveAck(Ack ack, long nowMillis) {
+    view.learnAll(ack.news(), nowMillis);
+    composer.receive(ack.brakes(), ack.suspicions());
+    view.heard(ack.sender(), ack.mark());
+    if (probes.answered(ack.sequence(), ack.sender())) {
+      view.fence().answered(ack.sender(), ack.mark(), table.liveCount());
+    }
+    return probes
+        .relayed(ack.sequence())
+        .flatMap(relay -> table.find(relay.origin()).map(origin -> relayed(ack, relay, origin)))
+        .map(List::of)
+        .orElse(List.of());
+  }
+
+  private static Outbound relayed(Ack ack, ProbeLedger.Relay relay, Member origin) {
+    Ack passedOn =
+        new Ack(
+            ack.sender(),
+            relay.originSequence(),
+            ack.mark(),
+            ack.news(),
+            ack.brakes(),
+            ack.suspicions());
+    return new Outbound(origin.control(), passedOn);
+  }
+
+  private List<Outbound> relayPing(PingRequest request) {
+    return table
+        .find(request.target())
+        .map(
+            target -> {
+              long sequence = probes.startRelay(request.sender(), request.sequence());
+              Ping ping =
+                  new Ping(
+                      view.id(),
+                      sequence,
+                      view.mark(),
+                      List.of(self(), target),
+                      List.of(),
+                      List.of());
+              return List.of(new Outbound(target.control(), ping));
+            })
+        .orElse(List.of());
+  }
+
+  private List<Outbound> receiveJoin(Join join, long nowMillis) {
+    List<Member> sample = new ArrayList<>();
+    sample.add(self());
+    table.find(join.sender()).ifPresent(sample::add);
+    sample.addAll(table.randomLive(MembershipSettings.JOIN_SAMPLE));
+    view.learn(join.self(), nowMillis);
+    NodeAddress joiner = join.self().control();
+    Members members = new Members(view.id(), view.mark(), sample);
+    Ping reports = composer.reportsFor(view.mark());
+    if (reports.brakes().isEmpty() && reports.suspicions().isEmpty()) {
+      return List.of(new Outbound(joiner, members));
+    }
+    return List.of(new Outbound(joiner, members), new Outbound(joiner, reports));
+  }
+
+  private List<Outbound> receiveMembers(Members members, long nowMillis) {
+    joiner.answered();
+    long before = table.changes();
+    view.learnAll(members.members(), nowMillis);
+    view.heard(members.sender(), members.mark());
+    if (table.changes() - before > MembershipSettings.JOIN_SAMPLE / 4) {
+      duties.reconcileSoon(nowMillis);
+    }
+    return List.of();
+  }
+
+  private List<Outbound> answerReconcile(Reconcile reconcile) {
+    Optional<Member> peer = table.find(reconcile.sender());
+    List<Member> claims =
+        table.differing(reconcile.bucketHashes(), MembershipSettings.RECONCILE_SAMPLE);
+    if (peer.isEmpty() || claims.isEmpty()) {
+      return List.of();
+    }
+    Members members = new Members(view.id(), view.mark(), claims);
+    return List.of(new Outbound(peer.get().control(), members));
+  }
+}
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
@@ -22,7 +22,16 @@
    * @param version the number
    * @param digest the digest
    */
-  record VersionMark(ConfigurationVersion version, Digest digest) {}
+  record VersionMark(ConfigurationVersion version, Digest digest) {
+    /** The mark of a node that has no configuration in force. */
+    public static final VersionMark NONE =
+        new VersionMark(ConfigurationVersion.NONE, new Digest("0".repeat(64)));
+
+    /** Returns whether this mark's version is newer than the other's. */
+    public boolean newerThan(VersionMark other) {
+      return version.newerThan(other.version);
+    }
+  }
 
   /**
    * A version that must take no traffic; brakes only ever tighten.
@@ -164,6 +173,14 @@
    */
   record Members(NodeId sender, VersionMark mark, List<Member> members) implements PeerMessage {}
 
+  /**
+   * Asks for the members of those buckets whose hashes differ from the receiver's.
+   *
+   * @param sender who asks
+   * @param bucketHashes one hash over the live members of each bucket
+   */
+  record Reconcile(NodeId sender, List<Integer> bucketHashes) implements PeerMessage {}
+
   /**
    * Carries evidence on versions to the rollout controller.
    *
