--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/ReadSchedule.java
@@ -0,0 +1,92 @@
+package io.hemlockbend.core.distribution;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when this node reads the table. Reads of the whole mesh stay bounded: a node that has
+ * just become a reader reads seldom until views have had time to agree, and a reader that sees only
+ * a part of its failure domain reads the less often, since others may see another part.
+ */
+final class ReadSchedule {
+  private static final long IDLE_INTERVAL_MILLIS = 120_000;
+  private static final long NEW_READER_INTERVAL_MILLIS = 4_000;
+  private static final long NEW_READER_MILLIS = 8_000;
+  private static final long PARTED_INTERVAL_MAX_MILLIS = 5_000;
+  private static final long ANSWER_TIMEOUT_MILLIS = 3_000;
+  private static final long BACKOFF_MILLIS = 500;
+  private static final long READER_BACKOFF_MAX_MILLIS = 2_000;
+  private static final long BACKOFF_MAX_MILLIS = 8_000;
+
+  private final DistributionSettings settings;
+  private final RandomGenerator random;
+  private ReaderElection election = new ReaderElection(false, 1, 1);
+  private long readerSinceMillis = Long.MAX_VALUE;
+  private long nextMillis = Long.MIN_VALUE;
+  private long sentMillis;
+  private long backoffMillis = BACKOFF_MILLIS;
+  private boolean outstanding;
+  private boolean started;
+
+  ReadSchedule(DistributionSettings settings, RandomGenerator random) {
+    this.settings = settings;
+    this.random = random;
+  }
+
+  /** Takes in who reads by the view of now. */
+  void elected(ReaderElection drawn, long nowMillis) {
+    boolean becomesReader = drawn.reader() && !election.reader();
+    election = drawn;
+    if (becomesReader) {
+      readerSinceMillis = nowMillis;
+    }
+    if (becomesReader && started) {
+      long withinMillis = 1 + random.nextLong(intervalMillis(nowMillis));
+      nextMillis = Math.min(nextMillis, nowMillis + withinMillis);
+    }
+  }
+
+  /** Returns whether to read now, and counts the read as sent. */
+  boolean due(long nowMillis) {
+    if (!started) {
+      started = true;
+      nextMillis = nowMillis + random.nextLong(settings.startSpreadMillis());
+    }
+    if (outstanding && nowMillis - sentMillis >= ANSWER_TIMEOUT_MILLIS) {
+      failed(nowMillis);
+    }
+    if (outstanding || nowMillis < nextMillis) {
+      return false;
+    }
+    outstanding = true;
+    sentMillis = nowMillis;
+    return true;
+  }
+
+  void answered(long nowMillis) {
+    outstanding = false;
+    backoffMillis = BACKOFF_MILLIS;
+    nextMillis = nowMillis + jittered(intervalMillis(nowMillis));
+  }
+
+  void failed(long nowMillis) {
+    outstanding = false;
+    nextMillis = nowMillis + jittered(backoffMillis);
+    long maxMillis = election.reader() ? READER_BACKOFF_MAX_MILLIS : BACKOFF_MAX_MILLIS;
+    backoffMillis = Math.min(2 * backoffMillis, maxMillis);
+  }
+
+  private long intervalMillis(long nowMillis) {
+    if (!election.reader()) {
+      return IDLE_INTERVAL_MILLIS;
+    }
+    if (nowMillis - readerSinceMillis < NEW_READER_MILLIS) {
+      return NEW_READER_INTERVAL_MILLIS;
+    }
+    long scaledMillis = settings.readIntervalMillis() * election.known() / election.live();
+    return Math.min(scaledMillis, PARTED_INTERVAL_MAX_MILLIS);
+  }
+
+  private long jittered(long intervalMillis) {
+    return intervalMillis * 3 / 4 + random.nextLong(intervalMillis / 2 + 1);
+  }
+}
