Serve callers through entry and admission over Jetty

The entry routes, sends the request to the node beside the chosen upstream and tries again only where the policy allows it. Admission refuses before a byte goes to the upstream; a keyed request that may not be repeated runs under a claim in the table. Small answers are held whole before their first byte goes on, large ones stream and abort the caller's connection when they break; an answer that ends with its connection counts as broken, since a cut one would look whole. A request that times out takes its connection with it.

--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Exclusions.java
@@ -0,0 +1,55 @@
+package io.hemlockbend.core.routing;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionKey;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * What the choice for a request must keep away from, since earlier tries were refused there.
+ *
+ * @param upstreams upstreams that refused it
+ * @param domains failure domains that take no new work
+ * @param versions versions that take no traffic
+ */
+public record Exclusions(
+    Set<UpstreamId> upstreams, Set<FailureDomain> domains, Set<VersionKey> versions) {
+  /** Nothing is excluded. */
+  public static final Exclusions NONE = new Exclusions(Set.of(), Set.of(), Set.of());
+
+  /** Copies the sets. */
+  public Exclusions {
+    upstreams = Set.copyOf(upstreams);
+    domains = Set.copyOf(domains);
+    versions = Set.copyOf(versions);
+  }
+
+  /** Returns these and an upstream. */
+  public Exclusions with(UpstreamId upstream) {
+    return new Exclusions(plus(upstreams, upstream), domains, versions);
+  }
+
+  /** Returns these and a failure domain. */
+  public Exclusions with(FailureDomain domain) {
+    return new Exclusions(upstreams, plus(domains, domain), versions);
+  }
+
+  /** Returns these and a version. */
+  public Exclusions with(VersionKey version) {
+    return new Exclusions(upstreams, domains, plus(versions, version));
+  }
+
+  /** Returns whether the candidate is none of these. */
+  boolean admit(Candidate candidate) {
+    return !upstreams.contains(candidate.upstream())
+        && !domains.contains(candidate.domain())
+        && !versions.contains(candidate.key());
+  }
+
+  private static <T> Set<T> plus(Set<T> set, T element) {
+    Set<T> sum = new HashSet<>(set);
+    sum.add(element);
+    return sum;
+  }
+}
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/RefusalReason.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/RefusalReason.java
@@ -14,8 +14,8 @@
   QUARANTINED("quarantined"),
   /** The caller's deadline has passed. */
   DEADLINE("deadline-passed"),
-  /** The request's body is larger than the node takes. */
-  TOO_LARGE("body-too-large");
+  /** A header field of the mesh is malformed. */
+  BAD_REQUEST("bad-request");
 
   private final String text;
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Router.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Router.java
@@ -43,7 +43,7 @@
       return new RoutingDecision.Refuse(RefusalReason.NO_ROUTE, Optional.empty(), Optional.empty());
     }
     Service service = table.configuration().services().get(route.get().service());
-    VersionKey key = VersionSplit.choose(table, service, request.request());
+    VersionKey key = VersionSplit.choose(table, service, request);
     return choose(table, route.get(), key, request, random);
   }
 
@@ -55,7 +55,7 @@
       RandomGenerator random) {
     Pool pool = table.pool(key);
     int ticket = VersionSplit.restoreTicket(request.request());
-    Predicate<Candidate> untried = c -> !request.tried().contains(c.upstream());
+    Predicate<Candidate> untried = request.exclusions()::admit;
     Predicate<Candidate> healthy = untried.and(c -> !view.ejected(c.upstream()));
     Predicate<Candidate> preferred = healthy.and(c -> ticket < c.sharePermille());
     Candidate local = twoChoices.choose(pool.local(), preferred, random);
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/VersionSplit.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/VersionSplit.java
@@ -20,15 +20,16 @@
    * Returns the version that the request goes to. Without a usable upstream of the new version it
    * goes to the old one; never the other way round, since the new one has not earned that share.
    */
-  static VersionKey choose(RoutingTable table, Service service, RequestId request) {
+  static VersionKey choose(RoutingTable table, Service service, RoutingRequest request) {
     ServiceName name = service.name();
     VersionKey active = new VersionKey(name, service.active());
     Move move = table.move(name);
-    if (move == null || ticket(request, SPLIT_SALT) >= move.sharePermille()) {
+    if (move == null || ticket(request.request(), SPLIT_SALT) >= move.sharePermille()) {
       return active;
     }
     VersionKey next = new VersionKey(name, move.to());
-    return table.pool(next).all().isEmpty() ? active : next;
+    boolean excluded = request.exclusions().versions().contains(next);
+    return excluded || table.pool(next).all().isEmpty() ? active : next;
   }
 
   /** Returns the request's place among the shares of restored failure domains, 0 to 999. */
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
@@ -148,13 +148,26 @@
   void triedUpstreamsAreNotTriedAgain() {
     RoutingTable table = table(CONFIGURATION, member("a", TUNIS, V1));
     RoutingRequest request =
-        new RoutingRequest(new RequestId("r"), "/safety/1", Set.of(new UpstreamId("a")));
+        new RoutingRequest(
+            new RequestId("r"), "/safety/1", Exclusions.NONE.with(new UpstreamId("a")));
     assertThat(router.decide(table, request, random))
         .isInstanceOfSatisfying(
             RoutingDecision.Refuse.class,
             refuse -> assertThat(refuse.reason()).isEqualTo(RefusalReason.EXHAUSTED));
   }
 
+  @Test
+  void retryAfterABrakeGoesToTheOldVersion() {
+    Configuration moving = change(new Change.StartMove(SAFETY, V2.version(), 0, 100), advance(999));
+    RoutingTable table = table(moving, member("a", TUNIS, V1), member("b", TUNIS, V2));
+    RoutingRequest request =
+        new RoutingRequest(new RequestId("r"), "/safety/1", Exclusions.NONE.with(V2));
+    assertThat(router.decide(table, request, random))
+        .isInstanceOfSatisfying(
+            RoutingDecision.Forward.class,
+            forward -> assertThat(forward.candidate().key()).isEqualTo(V1));
+  }
+
   @Test
   void restoredDomainGrowsByDegrees() {
     Configuration back = change(new Change.Withdraw(SFAX, 0), new Change.Restore(SFAX, 0, 1000));
@@ -174,7 +187,8 @@
   }
 
   private Optional<UpstreamId> chosen(RoutingTable table, String request) {
-    RoutingRequest routed = new RoutingRequest(new RequestId(request), "/safety/1", Set.of());
+    RoutingRequest routed =
+        new RoutingRequest(new RequestId(request), "/safety/1", Exclusions.NONE);
     return switch (router.decide(table, routed, random)) {
       case RoutingDecision.Forward forward -> Optional.of(forward.candidate().upstream());
       case RoutingDecision.Refuse refuse -> Optional.empty();
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunOutcomes.java
@@ -0,0 +1,40 @@
+package io.hemlockbend.node.admission;
+
+import io.hemlockbend.core.admission.RunOutcome;
+import io.hemlockbend.core.retry.AttemptEnd;
+import io.hemlockbend.node.forward.Answer;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** Reads from an answer how the run on the upstream ended. */
+final class RunOutcomes {
+
+  private RunOutcomes() {}
+
+  static RunOutcome of(Answer answer) {
+    return switch (answer) {
+      case Answer.Whole whole -> ofStatus(whole.status());
+      case Answer.Streamed streamed -> ofStatus(streamed.status());
+      case Answer.Ended(AttemptEnd end) -> ofEnd(end);
+      case Answer.Told told -> RunOutcome.NOT_SENT;
+    };
+  }
+
+  private static RunOutcome ofStatus(int status) {
+    if (status == HttpStatus.SERVICE_UNAVAILABLE_503
+        || status == HttpStatus.TOO_MANY_REQUESTS_429) {
+      return RunOutcome.OVERLOADED;
+    }
+    return HttpStatus.isServerError(status) ? RunOutcome.FAILED : RunOutcome.ANSWERED;
+  }
+
+  private static RunOutcome ofEnd(AttemptEnd end) {
+    return switch (end) {
+      case AttemptEnd.Refused refused -> RunOutcome.NOT_SENT;
+      case AttemptEnd.NoUpstream none -> RunOutcome.NOT_SENT;
+      case AttemptEnd.NotConnected none -> RunOutcome.NOT_SENT;
+      case AttemptEnd.Broken broken -> RunOutcome.BROKEN;
+      case AttemptEnd.TimedOut late -> RunOutcome.TIMED_OUT;
+      case AttemptEnd.Truncated cut -> RunOutcome.BROKEN;
+    };
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/TableClaimRunner.java
@@ -0,0 +1,216 @@
+package io.hemlockbend.node.admission;
+
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.api.IdempotencyKey;
+import io.hemlockbend.core.claim.BatchOutcome;
+import io.hemlockbend.core.claim.ClaimBatch;
+import io.hemlockbend.core.claim.ClaimDecision;
+import io.hemlockbend.core.claim.ClaimLedger;
+import io.hemlockbend.core.claim.ClaimRefusal;
+import io.hemlockbend.core.claim.ClaimResolution;
+import io.hemlockbend.core.claim.ReadOutcome;
+import io.hemlockbend.core.claim.StoredAnswer;
+import io.hemlockbend.core.retry.AttemptEnd;
+import io.hemlockbend.core.retry.OutcomeWord;
+import io.hemlockbend.core.retry.ResponseHeaders;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.core.table.TransactionOutcome;
+import io.hemlockbend.node.forward.Answer;
+import io.hemlockbend.node.forward.Call;
+import io.hemlockbend.platform.PlatformException;
+import io.hemlockbend.platform.TableService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/**
+ * Claims requests with idempotency keys in the platform's table before they run. One thread of its
+ * own drives the ledger; safe methods and requests without a key pass by it.
+ */
+public final class TableClaimRunner implements ClaimRunner, AutoCloseable {
+  private static final long POLL_MILLIS = 2;
+
+  private record Pending(
+      Supplier<CompletableFuture<Answer>> run, CompletableFuture<Answer> answer) {}
+
+  private final ClaimLedger ledger;
+  private final TableService table;
+  private final Clock clock;
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().daemon().name("claims").factory());
+  private final Map<IdempotencyKey, Pending> pending = new HashMap<>();
+  private boolean polling;
+
+  /**
+   * Makes a runner.
+   *
+   * @param ledger remembers what became of each key
+   * @param table the platform's table
+   * @param clock tells the time
+   */
+  public TableClaimRunner(ClaimLedger ledger, TableService table, Clock clock) {
+    this.ledger = ledger;
+    this.table = table;
+    this.clock = clock;
+  }
+
+  @Override
+  public CompletableFuture<Answer> run(Call call, Supplier<CompletableFuture<Answer>> run) {
+    if (call.safe() || call.key().isEmpty()) {
+      return run.get();
+    }
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    thread.execute(() -> begin(call, call.key().get(), new Pending(run, answer)));
+    return answer;
+  }
+
+  private void begin(Call call, IdempotencyKey key, Pending request) {
+    ClaimDecision decision = ledger.begin(key, Fingerprints.of(call), clock.millis());
+    switch (decision) {
+      case ClaimDecision.RunAfterClaim run -> {
+        pending.put(key, request);
+        poll();
+      }
+      case ClaimDecision.Replay(StoredAnswer stored) -> request.answer().complete(replay(stored));
+      case ClaimDecision.HasRun run -> request.answer().complete(duplicate(OutcomeWord.HAS_RUN));
+      case ClaimDecision.InProgress progress ->
+          request.answer().complete(duplicate(OutcomeWord.IN_PROGRESS));
+      case ClaimDecision.MayHaveRun may ->
+          request.answer().complete(duplicate(OutcomeWord.MAY_HAVE_RUN));
+      case ClaimDecision.KeyReused reused ->
+          request
+              .answer()
+              .complete(
+                  new Answer.Told(
+                      OutcomeWord.NOT_RUN, ResponseHeaders.KEY_REUSED_STATUS, "key-reused"));
+      case ClaimDecision.Unavailable(ClaimRefusal reason) ->
+          request.answer().complete(notRun(reason));
+    }
+  }
+
+  private void poll() {
+    if (polling) {
+      return;
+    }
+    polling = true;
+    thread.execute(this::step);
+  }
+
+  private void step() {
+    long now = clock.millis();
+    ledger.poll(now).ifPresent(this::send);
+    ledger.readsDue(now).forEach(this::read);
+    resolve(ledger.expire(now));
+    polling = !pending.isEmpty();
+    if (polling) {
+      thread.schedule(this::step, POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void send(ClaimBatch batch) {
+    table
+        .transact(batch.transaction())
+        .handle((outcome, failure) -> failure == null ? answered(outcome) : failed(failure))
+        .thenAcceptAsync(
+            outcome -> resolve(ledger.settled(batch.number(), outcome, clock.millis())), thread);
+  }
+
+  private static BatchOutcome answered(TransactionOutcome outcome) {
+    return new BatchOutcome.Answered(outcome);
+  }
+
+  private static BatchOutcome failed(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof PlatformException.NotApplied
+        ? new BatchOutcome.NotApplied()
+        : new BatchOutcome.Unknown();
+  }
+
+  private void read(IdempotencyKey key) {
+    table
+        .read(RowKey.claim(key))
+        .handle(
+            (row, failure) ->
+                failure == null
+                    ? new ReadOutcome.Read(row)
+                    : (ReadOutcome) new ReadOutcome.Failed())
+        .thenAcceptAsync(
+            outcome ->
+                ledger
+                    .readBack(key, outcome, clock.millis())
+                    .ifPresent(resolution -> resolve(List.of(resolution))),
+            thread);
+  }
+
+  private void resolve(List<ClaimResolution> resolutions) {
+    for (ClaimResolution resolution : resolutions) {
+      Pending request = pending.remove(resolution.key());
+      switch (resolution) {
+        case ClaimResolution.Run(IdempotencyKey key) -> runNow(key, request);
+        case ClaimResolution.NotRun(IdempotencyKey key, ClaimRefusal reason) ->
+            request.answer().complete(notRun(reason));
+        case ClaimResolution.MayHaveRun(IdempotencyKey key) ->
+            request.answer().complete(duplicate(OutcomeWord.MAY_HAVE_RUN));
+      }
+    }
+  }
+
+  private void runNow(IdempotencyKey key, Pending request) {
+    request
+        .run()
+        .get()
+        .thenAcceptAsync(
+            answer -> {
+              note(key, answer);
+              request.answer().complete(answer);
+            },
+            thread);
+  }
+
+  private void note(IdempotencyKey key, Answer answer) {
+    long now = clock.millis();
+    switch (answer) {
+      case Answer.Whole whole -> ledger.finished(key, stored(whole), now);
+      case Answer.Streamed streamed -> ledger.finished(key, now);
+      case Answer.Ended(AttemptEnd end) when !end.mayHaveRun() -> ledger.notSent(key, now);
+      case Answer.Ended ended -> ledger.broken(key, now);
+      case Answer.Told told -> ledger.broken(key, now);
+    }
+  }
+
+  private static StoredAnswer stored(Answer.Whole whole) {
+    String type = whole.fields().get(HttpHeader.CONTENT_TYPE);
+    return new StoredAnswer(whole.status(), type == null ? "" : type, whole.body());
+  }
+
+  private static Answer replay(StoredAnswer stored) {
+    HttpFields.Mutable fields = HttpFields.build();
+    if (!stored.contentType().isEmpty()) {
+      fields.put(HttpHeader.CONTENT_TYPE, stored.contentType());
+    }
+    fields.put(ResponseHeaders.REPLAYED, "true");
+    return new Answer.Whole(stored.status(), fields, stored.body());
+  }
+
+  private static Answer duplicate(OutcomeWord word) {
+    return new Answer.Told(word, ResponseHeaders.DUPLICATE_STATUS, "duplicate");
+  }
+
+  private static Answer notRun(ClaimRefusal reason) {
+    return new Answer.Told(OutcomeWord.NOT_RUN, ResponseHeaders.NOT_RUN_STATUS, reason.word());
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/PlatformReads.java
@@ -0,0 +1,108 @@
+package io.hemlockbend.node.control;
+
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.distribution.DistributionEffect;
+import io.hemlockbend.core.distribution.Distributor;
+import io.hemlockbend.core.table.Row;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.core.table.RowValue;
+import io.hemlockbend.platform.ObjectStore;
+import io.hemlockbend.platform.TableService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+/** Carries out the distributor's reads of the platform and hands the results back to it. */
+final class PlatformReads {
+  private final TableService table;
+  private final ObjectStore store;
+  private final Distributor distributor;
+  private final Executor control;
+  private final Clock clock;
+  private final Consumer<List<DistributionEffect>> effects;
+
+  /**
+   * Makes the reads.
+   *
+   * @param table the platform's table
+   * @param store the platform's object store
+   * @param distributor wants the results
+   * @param control the control thread
+   * @param clock tells the time
+   * @param effects takes what the distributor wants done next
+   */
+  PlatformReads(
+      TableService table,
+      ObjectStore store,
+      Distributor distributor,
+      Executor control,
+      Clock clock,
+      Consumer<List<DistributionEffect>> effects) {
+    this.table = table;
+    this.store = store;
+    this.distributor = distributor;
+    this.control = control;
+    this.clock = clock;
+    this.effects = effects;
+  }
+
+  void readCurrent() {
+    table
+        .read(RowKey.CURRENT)
+        .whenCompleteAsync(
+            (row, failure) ->
+                effects.accept(
+                    failure == null
+                        ? distributor.currentRead(row.map(PlatformReads::current), clock.millis())
+                        : distributor.currentUnavailable(clock.millis())),
+            control);
+  }
+
+  private static RowValue.Current current(Row row) {
+    return (RowValue.Current) row.value();
+  }
+
+  void readHistory(DistributionEffect.ReadHistory range) {
+    List<CompletableFuture<Optional<Row>>> reads = new ArrayList<>();
+    for (long v = range.after().value() + 1; v <= range.last().value(); v++) {
+      reads.add(table.read(RowKey.history(new ConfigurationVersion(v))));
+    }
+    CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+        .whenCompleteAsync(
+            (done, failure) ->
+                effects.accept(
+                    failure == null
+                        ? distributor.historyRead(rows(reads), clock.millis())
+                        : distributor.historyUnavailable(clock.millis())),
+            control);
+  }
+
+  /** Returns the rows when all are there, else none. */
+  private static List<RowValue.History> rows(List<CompletableFuture<Optional<Row>>> reads) {
+    List<RowValue.History> rows = new ArrayList<>();
+    for (CompletableFuture<Optional<Row>> read : reads) {
+      Optional<Row> row = read.join();
+      if (row.isEmpty()) {
+        return List.of();
+      }
+      rows.add((RowValue.History) row.get().value());
+    }
+    return rows;
+  }
+
+  void fetchBody(DistributionEffect.FetchBody fetch) {
+    store
+        .fetch(fetch.digest())
+        .whenCompleteAsync(
+            (body, failure) ->
+                effects.accept(
+                    failure == null && body.isPresent()
+                        ? distributor.bodyFetched(fetch.digest(), body.get(), clock.millis())
+                        : distributor.bodyUnavailable(fetch.digest(), clock.millis())),
+            control);
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
@@ -0,0 +1,286 @@
+package io.hemlockbend.node.entry;
+
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.api.DecisionKind;
+import io.hemlockbend.core.api.DecisionRecord;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.quarantine.Standing;
+import io.hemlockbend.core.retry.Attempt;
+import io.hemlockbend.core.retry.AttemptEnd;
+import io.hemlockbend.core.retry.RetryBudget;
+import io.hemlockbend.core.retry.RetryDecision;
+import io.hemlockbend.core.retry.RetryPolicy;
+import io.hemlockbend.core.routing.Candidate;
+import io.hemlockbend.core.routing.Exclusions;
+import io.hemlockbend.core.routing.RefusalReason;
+import io.hemlockbend.core.routing.Router;
+import io.hemlockbend.core.routing.RoutingDecision;
+import io.hemlockbend.core.routing.RoutingRequest;
+import io.hemlockbend.core.routing.RoutingTable;
+import io.hemlockbend.node.TrafficView;
+import io.hemlockbend.node.admission.AdmissionService;
+import io.hemlockbend.node.forward.Answer;
+import io.hemlockbend.node.forward.Call;
+import io.hemlockbend.node.forward.ErrorAnswers;
+import io.hemlockbend.node.forward.Forwarder;
+import io.hemlockbend.node.forward.Hop;
+import io.hemlockbend.node.log.DecisionListener;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Serves callers' requests: chooses an upstream, sends the request to the node beside it, and tries
+ * again where that is safe and within the budget.
+ */
+public final class EntryService {
+  private static final long TRY_MILLIS = 5;
+
+  private final NodeId self;
+  private final TrafficView view;
+  private final AdmissionService local;
+  private final Forwarder forwarder;
+  private final DecisionListener decisions;
+  private final Clock clock;
+  private final long attemptTimeoutMillis;
+  private final UpstreamCells cells;
+  private final Router router;
+  private final ConcurrentMap<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+  /**
+   * Makes the service.
+   *
+   * @param self this node
+   * @param view what the control state says
+   * @param local admission of this node's own upstream
+   * @param forwarder sends requests to other nodes
+   * @param decisions hears of each decision
+   * @param clock tells the time
+   * @param attemptTimeoutMillis longest wait for an answer's first byte
+   */
+  public EntryService(
+      NodeId self,
+      TrafficView view,
+      AdmissionService local,
+      Forwarder forwarder,
+      DecisionListener decisions,
+      Clock clock,
+      long attemptTimeoutMillis) {
+    this.self = self;
+    this.view = view;
+    this.local = local;
+    this.forwarder = forwarder;
+    this.decisions = decisions;
+    this.clock = clock;
+    this.attemptTimeoutMillis = attemptTimeoutMillis;
+    this.cells = new UpstreamCells(clock);
+    this.router = new Router(cells);
+  }
+
+  /**
+   * Serves a request.
+   *
+   * @param incoming the request
+   * @return what the caller gets; never fails
+   */
+  CompletableFuture<Answer> serve(Incoming incoming) {
+    if (view.standing(incoming.request()) == Standing.QUARANTINED) {
+      return CompletableFuture.completedFuture(refuse(incoming, RefusalReason.QUARANTINED));
+    }
+    return attempt(incoming, new Progress(1, 0, Exclusions.NONE, false));
+  }
+
+  /** Forgets what was learnt of upstreams that are gone. */
+  public void keepOnly(Set<UpstreamId> known) {
+    cells.keepOnly(known);
+  }
+
+  private record Progress(int number, int brokenTries, Exclusions exclusions, boolean mayHaveRun) {}
+
+  private CompletableFuture<Answer> attempt(Incoming incoming, Progress progress) {
+    Optional<RoutingTable> table = view.table();
+    if (table.isEmpty()) {
+      return CompletableFuture.completedFuture(refuse(incoming, RefusalReason.NOT_READY));
+    }
+    if (clock.millis() >= incoming.deadlineMillis()) {
+      return CompletableFuture.completedFuture(refuse(incoming, RefusalReason.DEADLINE));
+    }
+    RoutingRequest request =
+        new RoutingRequest(incoming.request(), incoming.path(), progress.exclusions());
+    RoutingDecision decision = router.decide(table.get(), request, ThreadLocalRandom.current());
+    log(incoming, decision);
+    return switch (decision) {
+      case RoutingDecision.Forward forward -> forward(incoming, forward, progress);
+      case RoutingDecision.Refuse refuse ->
+          CompletableFuture.completedFuture(refused(refuse, progress));
+    };
+  }
+
+  private static Answer refused(RoutingDecision.Refuse refuse, Progress progress) {
+    if (progress.mayHaveRun()) {
+      return new Answer.Ended(new AttemptEnd.Broken());
+    }
+    return ErrorAnswers.refused(refuse.reason());
+  }
+
+  private CompletableFuture<Answer> forward(
+      Incoming incoming, RoutingDecision.Forward forward, Progress progress) {
+    Candidate candidate = forward.candidate();
+    Call call = call(incoming, forward);
+    RetryBudget budget = budget(candidate.key().service());
+    if (progress.number() == 1) {
+      synchronized (budget) {
+        budget.called();
+      }
+    }
+    cells.started(candidate.upstream());
+    return send(call, candidate)
+        .thenCompose(answer -> answered(incoming, call, candidate, progress, answer));
+  }
+
+  private CompletableFuture<Answer> send(Call call, Candidate candidate) {
+    if (candidate.node().equals(self)) {
+      return local.admit(call);
+    }
+    long totalMillis = Math.max(1, call.deadlineMillis() - clock.millis());
+    long firstByteMillis = call.safe() ? attemptTimeoutMillis : totalMillis;
+    return forwarder.send(call, new Hop(candidate.mesh(), true, firstByteMillis, totalMillis));
+  }
+
+  private CompletableFuture<Answer> answered(
+      Incoming incoming, Call call, Candidate candidate, Progress progress, Answer answer) {
+    if (!(answer instanceof Answer.Ended(AttemptEnd end))) {
+      cells.answered(candidate.upstream());
+      return CompletableFuture.completedFuture(answer);
+    }
+    if (end instanceof AttemptEnd.Refused) {
+      cells.refused(candidate.upstream());
+    } else {
+      cells.broken(candidate.upstream());
+    }
+    RetryDecision next = decideRetry(call, progress, end);
+    return switch (next) {
+      case RetryDecision.RetryElsewhere elsewhere -> {
+        logRetry(call, "retry-elsewhere");
+        yield attempt(incoming, next(progress, elsewhere, candidate, end));
+      }
+      case RetryDecision.GiveUp giveUp -> {
+        logRetry(call, "give-up-" + giveUp.reason());
+        yield CompletableFuture.completedFuture(
+            new Answer.Told(giveUp.word(), giveUp.status(), giveUp.reason()));
+      }
+      case RetryDecision.AbortCaller abort -> CompletableFuture.completedFuture(answer);
+    };
+  }
+
+  private RetryDecision decideRetry(Call call, Progress progress, AttemptEnd end) {
+    boolean repeatable = call.safe() && call.repeatableBody();
+    boolean resendable = call.repeatableBody() || !end.mayHaveRun();
+    RetryBudget budget = budget(call.version().service());
+    synchronized (budget) {
+      return RetryPolicy.decide(
+          new Attempt(
+              end,
+              repeatable,
+              resendable ? progress.number() : Integer.MAX_VALUE,
+              progress.brokenTries() + (end instanceof AttemptEnd.Broken ? 1 : 0),
+              progress.mayHaveRun(),
+              call.deadlineMillis(),
+              TRY_MILLIS),
+          budget,
+          clock.millis());
+    }
+  }
+
+  private static Progress next(
+      Progress progress,
+      RetryDecision.RetryElsewhere elsewhere,
+      Candidate candidate,
+      AttemptEnd end) {
+    Exclusions before = progress.exclusions();
+    Exclusions exclusions =
+        switch (elsewhere.exclusion()) {
+          case UPSTREAM -> before.with(candidate.upstream());
+          case FAILURE_DOMAIN -> before.with(candidate.domain());
+          case VERSION -> before.with(candidate.key());
+        };
+    return new Progress(
+        progress.number() + 1,
+        progress.brokenTries() + (end instanceof AttemptEnd.Broken ? 1 : 0),
+        exclusions,
+        progress.mayHaveRun() || end.mayHaveRun());
+  }
+
+  private static Call call(Incoming incoming, RoutingDecision.Forward forward) {
+    return new Call(
+        incoming.method(),
+        incoming.target(),
+        incoming.fields(),
+        incoming.body(),
+        incoming.request(),
+        incoming.key(),
+        forward.route().name(),
+        forward.candidate().key(),
+        forward.candidate().upstream(),
+        forward.route().priority(),
+        incoming.deadlineMillis());
+  }
+
+  private RetryBudget budget(ServiceName service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            new RetryBudget(
+                RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_FLOOR_PER_SECOND, clock.millis()));
+  }
+
+  private Answer refuse(Incoming incoming, RefusalReason reason) {
+    log(incoming, new RoutingDecision.Refuse(reason, Optional.empty(), Optional.empty()));
+    return ErrorAnswers.refused(reason);
+  }
+
+  private void log(Incoming incoming, RoutingDecision decision) {
+    DecisionRecord line =
+        switch (decision) {
+          case RoutingDecision.Forward forward ->
+              new DecisionRecord(
+                  clock.millis(),
+                  DecisionKind.ROUTE,
+                  Optional.of(incoming.request()),
+                  Optional.of(forward.route().name()),
+                  Optional.of(forward.candidate().key()),
+                  Optional.of(forward.candidate().upstream()),
+                  false,
+                  forward.locality().text());
+          case RoutingDecision.Refuse refuse ->
+              new DecisionRecord(
+                  clock.millis(),
+                  DecisionKind.ROUTE,
+                  Optional.of(incoming.request()),
+                  refuse.route().map(route -> route.name()),
+                  refuse.version(),
+                  Optional.empty(),
+                  true,
+                  refuse.reason().text());
+        };
+    decisions.decided(line);
+  }
+
+  private void logRetry(Call call, String reason) {
+    decisions.decided(
+        new DecisionRecord(
+            clock.millis(),
+            DecisionKind.RETRY,
+            Optional.of(call.request()),
+            Optional.of(call.route()),
+            Optional.of(call.version()),
+            Optional.of(call.upstream()),
+            reason.startsWith("give-up"),
+            reason));
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Call.java
@@ -0,0 +1,68 @@
+package io.hemlockbend.node.forward;
+
+import io.hemlockbend.core.api.IdempotencyKey;
+import io.hemlockbend.core.api.Priority;
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionKey;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * A request on its way to a chosen upstream.
+ *
+ * @param method the HTTP method
+ * @param target path and query
+ * @param fields the caller's header fields that pass through
+ * @param body the body
+ * @param request the request's id
+ * @param key its idempotency key, when it has one
+ * @param route the route that it took
+ * @param version the version that was chosen
+ * @param upstream the upstream that was chosen
+ * @param priority how urgent it is
+ * @param deadlineMillis when the caller stops waiting, milliseconds since the epoch
+ */
+public record Call(
+    String method,
+    String target,
+    HttpFields fields,
+    CallBody body,
+    RequestId request,
+    Optional<IdempotencyKey> key,
+    RouteName route,
+    VersionKey version,
+    UpstreamId upstream,
+    Priority priority,
+    long deadlineMillis) {
+
+  /** Returns whether the method is safe, so that the request may be repeated (RFC 9110, 9.2.1). */
+  public boolean safe() {
+    return switch (method) {
+      case "GET", "HEAD", "OPTIONS", "TRACE" -> true;
+      default -> false;
+    };
+  }
+
+  /** Returns whether the body can be sent a second time. */
+  public boolean repeatableBody() {
+    return body instanceof CallBody.Held;
+  }
+
+  /** Returns the same request with another body. */
+  public Call withBody(CallBody other) {
+    return new Call(
+        method,
+        target,
+        fields,
+        other,
+        request,
+        key,
+        route,
+        version,
+        upstream,
+        priority,
+        deadlineMillis);
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
@@ -0,0 +1,173 @@
+package io.hemlockbend.node.forward;
+
+import io.hemlockbend.core.retry.AttemptEnd;
+import io.hemlockbend.core.retry.ResponseHeaders;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentSourceRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Sends a request over one hop. A failure before the first byte went out is "not run", any later
+ * one "may have run". A request that times out takes its connection with it, so that a late answer
+ * can reach no other request.
+ */
+public final class Forwarder {
+  private final HttpClient client;
+  private final int bufferBytes;
+
+  /**
+   * Makes a forwarder.
+   *
+   * @param client the started client
+   * @param bufferBytes largest answer that is held whole, in bytes
+   */
+  public Forwarder(HttpClient client, int bufferBytes) {
+    this.client = client;
+    this.bufferBytes = bufferBytes;
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param call the request
+   * @param hop where it goes
+   * @return what came of it; never fails
+   */
+  public CompletableFuture<Answer> send(Call call, Hop hop) {
+    AtomicBoolean sent = new AtomicBoolean();
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    Request request = request(call, hop);
+    request.onRequestBegin(begun -> sent.set(true));
+    Scheduler.Task timer = firstByteTimer(request, hop);
+    request.onResponseBegin(response -> timer.cancel());
+    request.onResponseContentSource((response, source) -> read(call, response, source, answer));
+    request.send(result -> complete(result, timer, answer));
+    return answer.handle((value, failure) -> settle(value, failure, sent.get(), hop));
+  }
+
+  private Request request(Call call, Hop hop) {
+    Request request =
+        client
+            .newRequest(hop.to().host(), hop.to().port())
+            .method(call.method())
+            .path(call.target())
+            .followRedirects(false)
+            .timeout(hop.totalMillis(), TimeUnit.MILLISECONDS);
+    request.headers(fields -> fields.add(MeshHeaders.passing(call.fields())));
+    request.headers(fields -> identify(fields, call, hop));
+    switch (call.body()) {
+      case CallBody.Held held when held.bytes().length == 0 -> {
+        // No content: neither body nor Content-Length.
+      }
+      case CallBody.Held held ->
+          request.body(new BytesRequestContent(contentType(call), held.bytes()));
+      case CallBody.Streamed streamed ->
+          request.body(new ContentSourceRequestContent(streamed.source(), contentType(call)));
+    }
+    return request;
+  }
+
+  private static String contentType(Call call) {
+    String type = call.fields().get(HttpHeader.CONTENT_TYPE);
+    return type == null ? "application/octet-stream" : type;
+  }
+
+  private static void identify(HttpFields.Mutable fields, Call call, Hop hop) {
+    fields.remove(HttpHeader.CONTENT_LENGTH);
+    fields.put(MeshHeaders.REQUEST_ID, call.request().value());
+    fields.put(MeshHeaders.DEADLINE_MILLIS, Long.toString(hop.totalMillis()));
+    if (!hop.inside()) {
+      return;
+    }
+    fields.put(MeshHeaders.ROUTE, call.route().value());
+    fields.put(MeshHeaders.VERSION, call.version().toString());
+    fields.put(MeshHeaders.UPSTREAM, call.upstream().value());
+    fields.put(MeshHeaders.PRIORITY, call.priority().name());
+  }
+
+  private Scheduler.Task firstByteTimer(Request request, Hop hop) {
+    long millis = Math.min(hop.firstByteMillis(), hop.totalMillis());
+    return client
+        .getScheduler()
+        .schedule(
+            () -> request.abort(new TimeoutException("no first byte within " + millis + " ms")),
+            millis,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void read(
+      Call call, Response response, Content.Source source, CompletableFuture<Answer> answer) {
+    if (!delimited(call, response)) {
+      answer.completeExceptionally(new UndelimitedAnswerException());
+      source.fail(new UndelimitedAnswerException());
+      return;
+    }
+    new AnswerReader(response, source, bufferBytes, answer).run();
+  }
+
+  private static boolean delimited(Call call, Response response) {
+    HttpFields fields = response.getHeaders();
+    return fields.contains(HttpHeader.CONTENT_LENGTH)
+        || fields.contains(HttpHeader.TRANSFER_ENCODING)
+        || call.method().equals("HEAD");
+  }
+
+  private static void complete(
+      Result result, Scheduler.Task timer, CompletableFuture<Answer> answer) {
+    timer.cancel();
+    if (result.isFailed()) {
+      answer.completeExceptionally(result.getFailure());
+      return;
+    }
+    Response response = result.getResponse();
+    answer.complete(new Answer.Whole(response.getStatus(), response.getHeaders(), new byte[0]));
+  }
+
+  private static Answer settle(Answer answer, Throwable failure, boolean sent, Hop hop) {
+    if (failure != null) {
+      return broken(failure, sent);
+    }
+    return switch (answer) {
+      case Answer.Whole whole when hop.inside() -> fromNode(whole);
+      case Answer.Whole whole ->
+          new Answer.Whole(whole.status(), MeshHeaders.passing(whole.fields()), whole.body());
+      case Answer.Streamed streamed ->
+          new Answer.Streamed(
+              streamed.status(),
+              hop.inside() ? streamed.fields() : MeshHeaders.passing(streamed.fields()),
+              streamed.start(),
+              streamed.rest());
+      case Answer.Ended ended -> ended;
+      case Answer.Told told -> told;
+    };
+  }
+
+  private static Answer broken(Throwable failure, boolean sent) {
+    if (!sent) {
+      return new Answer.Ended(new AttemptEnd.NotConnected());
+    }
+    if (failure instanceof TimeoutException) {
+      return new Answer.Ended(new AttemptEnd.TimedOut());
+    }
+    return new Answer.Ended(new AttemptEnd.Broken());
+  }
+
+  private static Answer fromNode(Answer.Whole whole) {
+    String word = whole.fields().get(ResponseHeaders.OUTCOME);
+    if (word == null) {
+      return whole;
+    }
+    return EndWords.read(word, whole.status(), whole.fields().get(ResponseHeaders.REASON));
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/log/DecisionLog.java
@@ -0,0 +1,44 @@
+package io.hemlockbend.node.log;
+
+import io.hemlockbend.core.api.DecisionRecord;
+import java.util.Locale;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Writes decisions as JSON lines to the logger {@code decisions}; the configured appender queues
+ * them, so that a request does not wait.
+ */
+public final class DecisionLog implements DecisionListener {
+  private static final Logger LOGGER = LogManager.getLogger("decisions");
+
+  private final String node;
+
+  /**
+   * Makes a log.
+   *
+   * @param node the node's name, on every line
+   */
+  public DecisionLog(String node) {
+    this.node = node;
+  }
+
+  @Override
+  public void decided(DecisionRecord decision) {
+    if (!LOGGER.isInfoEnabled()) {
+      return;
+    }
+    StringMapMessage line = new StringMapMessage(9);
+    line.put("atMillis", Long.toString(decision.atMillis()));
+    line.put("node", node);
+    line.put("kind", decision.kind().name().toLowerCase(Locale.ROOT));
+    decision.request().ifPresent(id -> line.put("request", id.value()));
+    decision.route().ifPresent(route -> line.put("route", route.value()));
+    decision.version().ifPresent(version -> line.put("version", version.toString()));
+    decision.upstream().ifPresent(upstream -> line.put("upstream", upstream.value()));
+    line.put("refused", Boolean.toString(decision.refused()));
+    line.put("reason", decision.reason());
+    LOGGER.info(line);
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/Setting.java
@@ -0,0 +1,119 @@
+package io.hemlockbend.node.settings;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** The settings of a node: flag, variable, default, unit and what values are allowed. */
+public enum Setting {
+  /** The node's name. */
+  NODE_ID("node-id", null, Format.NAME, "Name of this node; stays the same over restarts."),
+  /** The region. */
+  REGION("region", "default", Format.NAME, "Region that this node runs in."),
+  /** The failure domain. */
+  FAILURE_DOMAIN("failure-domain", null, Format.NAME, "Failure domain that this node runs in."),
+  /** The address of all listeners. */
+  HOST("host", "127.0.0.1", Format.HOST, "IP number that all listeners bind and announce."),
+  /** The port for callers. */
+  CALLER_PORT("caller-port", "8080", Format.PORT, "Port for callers' HTTP requests."),
+  /** The port for requests from other nodes. */
+  MESH_PORT("mesh-port", "8081", Format.PORT, "Port for HTTP requests from other nodes."),
+  /** The port for control messages. */
+  CONTROL_PORT("control-port", "8082", Format.PORT, "Port for control messages of other nodes."),
+  /** The port for operators, metrics, health and announcements. */
+  ADMIN_PORT(
+      "admin-port",
+      "8083",
+      Format.PORT,
+      "Port for the administration API, metrics, health and upstream announcements."),
+  /** Where the platform answers. */
+  PLATFORM_URI(
+      "platform-uri", null, Format.URI, "URI of the platform's table service and object store."),
+  /** How long a call of the platform may take. */
+  PLATFORM_TIMEOUT_MILLIS(
+      "platform-timeout-millis",
+      "2000",
+      Format.MILLIS,
+      "Longest wait for an answer of the platform, in milliseconds."),
+  /** Nodes to join through. */
+  SEEDS(
+      "seeds",
+      "",
+      Format.ADDRESSES,
+      "Control addresses of some nodes to join through, as host:port,host:port."),
+  /** The wait for an answer's first byte. */
+  ATTEMPT_TIMEOUT_MILLIS(
+      "attempt-timeout-millis",
+      "2000",
+      Format.MILLIS,
+      "Longest wait for the first byte of an upstream's answer, in milliseconds."),
+  /** The wait for a whole answer. */
+  REQUEST_TIMEOUT_MILLIS(
+      "request-timeout-millis",
+      "10000",
+      Format.MILLIS,
+      "Longest life of a request without a deadline of its own, in milliseconds."),
+  /** What is buffered. */
+  BUFFER_BYTES(
+      "buffer-bytes",
+      "65536",
+      Format.BYTES,
+      "Bodies up to this size are held whole; larger ones are streamed. In bytes."),
+  /** The life of an announcement. */
+  ANNOUNCEMENT_MILLIS(
+      "announcement-millis",
+      "2000",
+      Format.MILLIS,
+      "An upstream counts as down this long after its last announcement, in milliseconds."),
+  /** The time to drain. */
+  DRAIN_MILLIS(
+      "drain-millis",
+      "10000",
+      Format.MILLIS,
+      "Longest wait for requests in flight when the node stops, in milliseconds."),
+  /** Worker threads. */
+  TRAFFIC_THREADS("traffic-threads", "24", Format.THREADS, "Threads that carry traffic, 8 to 256."),
+  /** Tokens of operators. */
+  TOKENS(
+      "tokens",
+      "",
+      Format.TOKENS,
+      "Operators' tokens as token=role:team, separated by commas; role is reader or operator, team"
+          + " * may change everything.");
+
+  private final String flag;
+  private final String fallback;
+  private final Format format;
+  private final String description;
+
+  Setting(String flag, String fallback, Format format, String description) {
+    this.flag = flag;
+    this.fallback = fallback;
+    this.format = format;
+    this.description = description;
+  }
+
+  /** Returns the flag, with its dashes. */
+  public String flag() {
+    return "--" + flag;
+  }
+
+  /** Returns the environment variable. */
+  public String variable() {
+    return "HEMLOCKBEND_" + flag.toUpperCase(Locale.ROOT).replace('-', '_');
+  }
+
+  /** Returns the default; empty when the setting is required. */
+  public Optional<String> fallback() {
+    return Optional.ofNullable(fallback);
+  }
+
+  /** Returns the values that are allowed. */
+  public Format format() {
+    return format;
+  }
+
+  /** Returns what the setting does, with its unit. */
+  public String description() {
+    return description;
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/SettingsException.java
@@ -0,0 +1,26 @@
+package io.hemlockbend.node.settings;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Tells all faults of the settings at once; nothing was started. */
+public final class SettingsException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<SettingFault> faults;
+
+  /**
+   * Makes the error.
+   *
+   * @param faults the faults, at least one
+   */
+  public SettingsException(List<SettingFault> faults) {
+    super(faults.stream().map(SettingFault::text).collect(Collectors.joining("\n")));
+    this.faults = List.copyOf(faults);
+  }
+
+  /** Returns the faults. */
+  public List<SettingFault> faults() {
+    return faults;
+  }
+}
