--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/AttemptEnd.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/AttemptEnd.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.core.retry;
 
 import io.hemlockbend.core.admission.RefusalReason;
+import io.hemlockbend.core.claim.ClaimRefusal;
 
 /** How one try of a request ended that brought no whole answer. */
 public sealed interface AttemptEnd {
@@ -12,6 +13,23 @@
    */
   record Refused(RefusalReason reason) implements AttemptEnd {}
 
+  /**
+   * The node beside the upstream could not claim its key, before a byte went to the upstream.
+   *
+   * @param reason why
+   */
+  record NotClaimed(ClaimRefusal reason) implements AttemptEnd {}
+
+  /**
+   * The node beside the upstream knows an earlier send under the same key.
+   *
+   * @param word what is known of the earlier send
+   */
+  record Duplicate(OutcomeWord word) implements AttemptEnd {}
+
+  /** Another request used the key. */
+  record KeyReused() implements AttemptEnd {}
+
   /** No upstream could be chosen. */
   record NoUpstream() implements AttemptEnd {}
 
@@ -34,12 +52,9 @@
   /** Returns whether an upstream may have run the request in this try. */
   default boolean mayHaveRun() {
     return switch (this) {
-      case Refused _ -> false;
-      case NoUpstream _ -> false;
-      case NotConnected _ -> false;
-      case Broken _ -> true;
-      case TimedOut _ -> true;
-      case Truncated _ -> true;
+      case Refused _, NotClaimed _, KeyReused _, NoUpstream _, NotConnected _ -> false;
+      case Duplicate(OutcomeWord word) -> word != OutcomeWord.NOT_RUN;
+      case Broken _, TimedOut _, Truncated _ -> true;
     };
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/RetryPolicy.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/RetryPolicy.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.core.retry;
 
 import io.hemlockbend.core.admission.RefusalReason;
+import io.hemlockbend.core.claim.ClaimRefusal;
 
 /**
  * Decides whether a request is tried again and what its caller is told if not.
@@ -51,11 +52,10 @@
     return switch (attempt.end()) {
       case AttemptEnd.Refused(RefusalReason reason) ->
           reason != RefusalReason.QUARANTINED && reason != RefusalReason.CANCELLED;
-      case AttemptEnd.NoUpstream _ -> false;
+      case AttemptEnd.NotClaimed(ClaimRefusal reason) -> reason == ClaimRefusal.TOO_MANY_CLAIMS;
+      case AttemptEnd.Duplicate _, AttemptEnd.KeyReused _, AttemptEnd.NoUpstream _ -> false;
       case AttemptEnd.NotConnected _ -> true;
-      case AttemptEnd.Broken _ -> true;
-      case AttemptEnd.TimedOut _ -> true;
-      case AttemptEnd.Truncated _ -> true;
+      case AttemptEnd.Broken _, AttemptEnd.TimedOut _, AttemptEnd.Truncated _ -> true;
     };
   }
 
@@ -74,18 +74,32 @@
   }
 
   private static RetryDecision giveUp(Attempt attempt) {
+    String reason = reason(attempt.end());
     if (!attempt.mayHaveRun()) {
-      return new RetryDecision.GiveUp(
-          OutcomeWord.NOT_RUN, ResponseHeaders.NOT_RUN_STATUS, reason(attempt.end()));
+      int status =
+          attempt.end() instanceof AttemptEnd.KeyReused
+              ? ResponseHeaders.KEY_REUSED_STATUS
+              : ResponseHeaders.NOT_RUN_STATUS;
+      return new RetryDecision.GiveUp(OutcomeWord.NOT_RUN, status, reason);
     }
-    boolean late = attempt.end() instanceof AttemptEnd.TimedOut;
-    int status = late ? ResponseHeaders.TIMED_OUT_STATUS : ResponseHeaders.BROKEN_STATUS;
-    return new RetryDecision.GiveUp(OutcomeWord.MAY_HAVE_RUN, status, reason(attempt.end()));
+    return switch (attempt.end()) {
+      case AttemptEnd.Duplicate(OutcomeWord word) ->
+          new RetryDecision.GiveUp(word, ResponseHeaders.DUPLICATE_STATUS, reason);
+      case AttemptEnd.TimedOut _ -> mayHaveRun(ResponseHeaders.TIMED_OUT_STATUS, reason);
+      default -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, reason);
+    };
+  }
+
+  private static RetryDecision mayHaveRun(int status, String reason) {
+    return new RetryDecision.GiveUp(OutcomeWord.MAY_HAVE_RUN, status, reason);
   }
 
   private static String reason(AttemptEnd end) {
     return switch (end) {
       case AttemptEnd.Refused(RefusalReason reason) -> reason.word();
+      case AttemptEnd.NotClaimed(ClaimRefusal reason) -> reason.word();
+      case AttemptEnd.Duplicate _ -> "duplicate";
+      case AttemptEnd.KeyReused _ -> "key-reused";
       case AttemptEnd.NoUpstream _ -> "no-upstream";
       case AttemptEnd.NotConnected _ -> "not-connected";
       case AttemptEnd.Broken _ -> "connection-broken";
