Drive the control state by one thread

Membership, distribution, brakes, the local upstream and the rollout task share one thread; traffic threads read one published routing table.

--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -0,0 +1,63 @@
+package io.hemlockbend.node;
+
+import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.codec.JsonDigester;
+import io.hemlockbend.codec.MessagePackCodec;
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.claim.ClaimLedger;
+import io.hemlockbend.core.claim.ClaimSettings;
+import io.hemlockbend.core.drain.DrainState;
+import io.hemlockbend.core.drain.DrainTracker;
+import io.hemlockbend.core.evidence.EvidenceCounter;
+import io.hemlockbend.core.lease.LeaseKeeper;
+import io.hemlockbend.node.admission.AdmissionService;
+import io.hemlockbend.node.admission.MeshHandler;
+import io.hemlockbend.node.admission.Quarantine;
+import io.hemlockbend.node.admission.TableClaimRunner;
+import io.hemlockbend.node.control.ControlLoop;
+import io.hemlockbend.node.control.ControlParts;
+import io.hemlockbend.node.control.ControlState;
+import io.hemlockbend.node.control.ControlStates;
+import io.hemlockbend.node.control.PublishedTable;
+import io.hemlockbend.node.entry.EntryHandler;
+import io.hemlockbend.node.entry.EntryService;
+import io.hemlockbend.node.forward.Forwarder;
+import io.hemlockbend.node.local.AnnounceHandler;
+import io.hemlockbend.node.log.DecisionListener;
+import io.hemlockbend.node.log.DecisionLog;
+import io.hemlockbend.node.log.RecentDecisions;
+import io.hemlockbend.node.metrics.DecisionMeters;
+import io.hemlockbend.node.metrics.MetricsHandler;
+import io.hemlockbend.node.rollout.EvidenceInbox;
+import io.hemlockbend.node.settings.NodeSettings;
+import io.hemlockbend.platform.HttpObjectStore;
+import io.hemlockbend.platform.HttpTableService;
+import io.hemlockbend.platform.PlatformSettings;
+import io.hemlockbend.wire.FrameCodec;
+import io.hemlockbend.wire.PeerConnections;
+import io.hemlockbend.wire.PeerListener;
+import io.hemlockbend.wire.WireCounters;
+import io.hemlockbend.wire.WireSettings;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+
+/** A running node: listeners, control loop and connections of one process. */
+public final class Node implements AutoCloseable {
+  private static final Logger LOGGER = LogManager.getLogger(Node.class);
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/RunEvents.java
@@ -0,0 +1,41 @@
+package io.hemlockbend.node;
+
+import io.hemlockbend.core.admission.RunOutcome;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
+import io.hemlockbend.node.admission.RunListener;
+import io.hemlockbend.node.control.ControlLoop;
+import io.hemlockbend.node.forward.Call;
+import io.hemlockbend.node.rollout.EvidenceInbox;
+import java.util.List;
+
+/** Passes what admission sees of the upstream on to the evidence and to the control thread. */
+final class RunEvents implements RunListener {
+  private final EvidenceInbox inbox;
+  private volatile ControlLoop control;
+
+  RunEvents(EvidenceInbox inbox) {
+    this.inbox = inbox;
+  }
+
+  /** Names the control loop, which is made after admission. */
+  void bind(ControlLoop loop) {
+    control = loop;
+  }
+
+  @Override
+  public void ended(Call call, RunOutcome outcome, double serviceMillis, boolean cold) {
+    inbox.ended(call, outcome, serviceMillis, cold);
+  }
+
+  @Override
+  public void crashed(List<Suspicion> inFlight) {
+    if (!inFlight.isEmpty()) {
+      control.suspected(inFlight);
+    }
+  }
+
+  @Override
+  public void unreachable() {
+    control.upstreamUnreachable();
+  }
+}
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlState.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlState.java
@@ -6,7 +6,7 @@
 import io.hemlockbend.node.admission.Quarantine;
 
 /** What the control thread owns. Nothing else may touch it but the quarantine, which is shared. */
-final class ControlState {
+public final class ControlState {
   final Membership membership;
   final Distributor distributor;
   final Quarantine quarantine;
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
@@ -63,6 +63,7 @@
             .method(call.method())
             .path(call.target())
             .followRedirects(false)
+            .idleTimeout(hop.totalMillis(), TimeUnit.MILLISECONDS)
             .timeout(hop.totalMillis(), TimeUnit.MILLISECONDS);
     request.headers(fields -> fields.add(MeshHeaders.passing(call.fields())));
     request.headers(fields -> identify(fields, call, hop));
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/metrics/MetricsHandler.java
@@ -0,0 +1,59 @@
+package io.hemlockbend.node.metrics;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Answers {@code /metrics} in Prometheus' text format, {@code /health} while the process runs, and
+ * {@code /ready} with 200 once the node may serve, 503 before.
+ */
+public final class MetricsHandler extends Handler.Abstract.NonBlocking {
+  private final PrometheusMeterRegistry registry;
+  private final BooleanSupplier ready;
+
+  /**
+   * Makes the handler.
+   *
+   * @param registry the meters
+   * @param ready whether the node may serve
+   */
+  public MetricsHandler(PrometheusMeterRegistry registry, BooleanSupplier ready) {
+    this.registry = registry;
+    this.ready = ready;
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    switch (request.getHttpURI().getCanonicalPath()) {
+      case "/metrics" -> answer(response, HttpStatus.OK_200, registry.scrape(), callback);
+      case "/health" -> answer(response, HttpStatus.OK_200, "up\n", callback);
+      case "/ready" -> answerReady(response, callback);
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void answerReady(Response response, Callback callback) {
+    if (ready.getAsBoolean()) {
+      answer(response, HttpStatus.OK_200, "ready\n", callback);
+      return;
+    }
+    answer(response, HttpStatus.SERVICE_UNAVAILABLE_503, "not ready\n", callback);
+  }
+
+  private static void answer(Response response, int status, String text, Callback callback) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+    response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/ChangeCommitter.java
@@ -0,0 +1,20 @@
+package io.hemlockbend.node.rollout;
+
+import io.hemlockbend.core.acceptance.CommitOutcome;
+import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.table.Condition;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Commits changes of the rollout controller. */
+@FunctionalInterface
+public interface ChangeCommitter {
+  /**
+   * Commits the changes together.
+   *
+   * @param changes the changes
+   * @param conditions what must hold besides, such as the lease
+   * @return what became of the commit; never fails
+   */
+  CompletableFuture<CommitOutcome> commit(List<Change> changes, List<Condition> conditions);
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/LeaseDriver.java
@@ -0,0 +1,63 @@
+package io.hemlockbend.node.rollout;
+
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.lease.HeldLease;
+import io.hemlockbend.core.lease.LeaseKeeper;
+import io.hemlockbend.core.lease.LeaseRequest;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.platform.TableService;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+
+/** Carries the lease keeper's requests to the table. Driven by the control thread. */
+final class LeaseDriver {
+  private final LeaseKeeper keeper;
+  private final TableService table;
+  private final Executor control;
+  private final Clock clock;
+
+  LeaseDriver(LeaseKeeper keeper, TableService table, Executor control, Clock clock) {
+    this.keeper = keeper;
+    this.table = table;
+    this.control = control;
+    this.clock = clock;
+  }
+
+  void tick(boolean candidate, long nowMillis) {
+    keeper.candidate(candidate);
+    keeper.poll(nowMillis).ifPresent(this::carryOut);
+  }
+
+  Optional<HeldLease> held(long nowMillis) {
+    return keeper.held(nowMillis);
+  }
+
+  private void carryOut(LeaseRequest request) {
+    switch (request) {
+      case LeaseRequest.Read read ->
+          table
+              .read(RowKey.ROLLOUT_LEASE)
+              .whenCompleteAsync(
+                  (row, failure) -> {
+                    if (failure == null) {
+                      keeper.onRow(read.id(), row, clock.millis());
+                    } else {
+                      keeper.onUnknown(read.id(), clock.millis());
+                    }
+                  },
+                  control);
+      case LeaseRequest.Write write ->
+          table
+              .transact(write.transaction())
+              .whenCompleteAsync(
+                  (outcome, failure) -> {
+                    if (failure == null) {
+                      keeper.onOutcome(write.id(), outcome, clock.millis());
+                    } else {
+                      keeper.onUnknown(write.id(), clock.millis());
+                    }
+                  },
+                  control);
+    }
+  }
+}
