Carry control messages over framed TCP connections

NIO was weighed: with at most 256 outgoing and 1,024 incoming connections blocking code on virtual threads is the shorter and plainer. A connection carries messages one way, so a silent one is judged by the application's own answers: when a ping or join is owed one for too long, the next message opens a new connection.

The codec lists the message Reconcile.

--- a/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
+++ b/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
@@ -44,6 +44,7 @@
     list(PeerMessage.Delta.class, "delta", "d");
     list(PeerMessage.Join.class, "join", "j");
     list(PeerMessage.Members.class, "members", "m");
+    list(PeerMessage.Reconcile.class, "reconcile", "r");
     list(PeerMessage.EvidenceReport.class, "evidence-report", "e");
     list(RowValue.Current.class, "current", "c");
     list(RowValue.History.class, "history", "h");
--- a/hemlockbend-codec/src/test/java/io/hemlockbend/codec/Samples.java
+++ b/hemlockbend-codec/src/test/java/io/hemlockbend/codec/Samples.java
@@ -36,7 +36,7 @@
     if (raw == long.class) {
       return random.nextLong(1L << random.nextInt(1, 60));
     }
-    if (raw == int.class) {
+    if (raw == int.class || raw == Integer.class) {
       return 1 + random.nextInt(SMALL - 1);
     }
     if (raw == double.class) {
--- /dev/null
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
@@ -0,0 +1,140 @@
+package io.hemlockbend.wire;
+
+import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.message.PeerMessage;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** The connection to one peer, its queue, and the thread that writes. */
+final class PeerLink implements AutoCloseable {
+  private final NodeAddress peer;
+  private final WireSettings settings;
+  private final FrameCodec frames;
+  private final WireCounters counters;
+  private final Consumer<PeerLink> onEnd;
+  private final BlockingQueue<PeerMessage> queue;
+  private final Socket socket = new Socket();
+  private volatile boolean closed;
+  private volatile boolean owed;
+  private volatile long owedSinceNanos;
+  private volatile long lastOfferNanos = System.nanoTime();
+
+  PeerLink(
+      NodeAddress peer,
+      WireSettings settings,
+      FrameCodec frames,
+      WireCounters counters,
+      Consumer<PeerLink> onEnd) {
+    this.peer = peer;
+    this.settings = settings;
+    this.frames = frames;
+    this.counters = counters;
+    this.onEnd = onEnd;
+    this.queue = new ArrayBlockingQueue<>(settings.queueMessages());
+  }
+
+  void start() {
+    Thread.ofVirtual().name("peer-write").start(this::run);
+  }
+
+  /** Queues a message; returns false when this connection has ended, so that another is needed. */
+  boolean offer(PeerMessage message) {
+    if (closed) {
+      return false;
+    }
+    lastOfferNanos = System.nanoTime();
+    if (!queue.offer(message)) {
+      counters.drop();
+    } else if (wantsAnswer(message) && !owed) {
+      owedSinceNanos = lastOfferNanos;
+      owed = true;
+    }
+    return true;
+  }
+
+  /** Returns whether the peer owes an answer for longer than the bound. */
+  boolean silent() {
+    long owedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - owedSinceNanos);
+    return owed && owedMillis >= settings.answerTimeoutMillis();
+  }
+
+  void heard() {
+    owed = false;
+  }
+
+  long lastOfferNanos() {
+    return lastOfferNanos;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    closeSocket();
+  }
+
+  private static boolean wantsAnswer(PeerMessage message) {
+    return switch (message) {
+      case PeerMessage.Ping ping -> ping.sequence() != 0;
+      case PeerMessage.Join join -> true;
+      default -> false;
+    };
+  }
+
+  private void run() {
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      socket.connect(
+          new InetSocketAddress(peer.host(), peer.port()), settings.connectTimeoutMillis());
+      writeAll(socket.getOutputStream());
+    } catch (IOException e) {
+      if (!closed) {
+        counters.error(WireException.Kind.CONNECTION);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      closed = true;
+      onEnd.accept(this);
+      queue.forEach(message -> counters.drop());
+    }
+  }
+
+  private void writeAll(OutputStream out) throws IOException, InterruptedException {
+    PeerMessage message = next();
+    while (message != null) {
+      write(out, message);
+      message = next();
+    }
+  }
+
+  private PeerMessage next() throws InterruptedException {
+    return closed ? null : queue.poll(settings.idleMillis() / 2, TimeUnit.MILLISECONDS);
+  }
+
+  private void write(OutputStream out, PeerMessage message) throws IOException {
+    byte[] frame;
+    try {
+      frame = frames.encode(message);
+    } catch (WireException e) {
+      counters.error(e.kind());
+      counters.drop();
+      return;
+    }
+    out.write(frame);
+    counters.sent(frame.length);
+  }
+
+  private void closeSocket() {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // A socket that can't be closed is closed already.
+    }
+  }
+}
