Commit, drive moves, and run nodes with stand-ins in one process

The commit runner carries settlement steps out against the platform; the rollout task sends evidence, brakes and commits steps under the lease. An embedded mesh of real nodes with a stand-in platform and upstreams serves a route end to end in a test. The capacity probes measure how each cost grows with size and fit a line; the report works them out at the size to design for.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/ListenerHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/ListenerHandler.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -35,6 +36,12 @@
     handlers.values().forEach(this::addBean);
   }
 
+  @Override
+  public void setServer(Server server) {
+    super.setServer(server);
+    handlers.values().forEach(handler -> handler.setServer(server));
+  }
+
   @Override
   public boolean handle(Request request, Response response, Callback callback) throws Exception {
     if (!begin()) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -2,7 +2,7 @@
 
 import io.hemlockbend.codec.JsonCodec;
 import io.hemlockbend.codec.JsonDigester;
-import io.hemlockbend.codec.MessagePackCodec;
+import io.hemlockbend.core.acceptance.CommitPlanner;
 import io.hemlockbend.core.api.Clock;
 import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.Member;
@@ -15,14 +15,18 @@
 import io.hemlockbend.core.drain.DrainTracker;
 import io.hemlockbend.core.evidence.EvidenceCounter;
 import io.hemlockbend.core.lease.LeaseKeeper;
+import io.hemlockbend.core.validation.ConfigurationChecker;
 import io.hemlockbend.node.admission.AdmissionService;
 import io.hemlockbend.node.admission.MeshHandler;
 import io.hemlockbend.node.admission.Quarantine;
 import io.hemlockbend.node.admission.TableClaimRunner;
+import io.hemlockbend.node.commit.CommitRunner;
+import io.hemlockbend.node.control.ApplyLog;
 import io.hemlockbend.node.control.ControlLoop;
 import io.hemlockbend.node.control.ControlParts;
 import io.hemlockbend.node.control.ControlState;
 import io.hemlockbend.node.control.ControlStates;
+import io.hemlockbend.node.control.MeshSnapshot;
 import io.hemlockbend.node.control.PublishedTable;
 import io.hemlockbend.node.entry.EntryHandler;
 import io.hemlockbend.node.entry.EntryService;
@@ -33,31 +37,290 @@
 import io.hemlockbend.node.log.RecentDecisions;
 import io.hemlockbend.node.metrics.DecisionMeters;
 import io.hemlockbend.node.metrics.MetricsHandler;
+import io.hemlockbend.node.metrics.NodeMeters;
 import io.hemlockbend.node.rollout.EvidenceInbox;
+import io.hemlockbend.node.rollout.LeasedCommitter;
+import io.hemlockbend.node.rollout.RolloutTask;
 import io.hemlockbend.node.settings.NodeSettings;
 import io.hemlockbend.platform.HttpObjectStore;
 import io.hemlockbend.platform.HttpTableService;
+import io.hemlockbend.platform.ObjectStore;
 import io.hemlockbend.platform.PlatformSettings;
-import io.hemlockbend.wire.FrameCodec;
-import io.hemlockbend.wire.PeerConnections;
-import io.hemlockbend.wire.PeerListener;
-import io.hemlockbend.wire.WireCounters;
-import io.hemlockbend.wire.WireSettings;
+import io.hemlockbend.platform.TableService;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.component.LifeCycle;
 
-/** A running node: listeners, control loop and connections of one process. */
+/**
+ * A running node: the listeners, the control loop and the connections of one process.
+ *
+ * <p>Example: {@code try (Node node = Node.start(settings)) { ... }}.
+ */
 public final class Node implements AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(Node.class);
+  private static final double SLOW_CALL_MILLIS = 250;
+  private static final long NOTICE_MILLIS = 1_500;
+  private static final long DRAIN_POLL_MILLIS = 20;
+  private static final int CLAIM_NAME_CHARACTERS = 50;
+
+  private final NodeSettings settings;
+  private final Clock clock = new SystemClock();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final RecentDecisions recent = new RecentDecisions();
+  private final DecisionListener decisions;
+  private final Server server;
+  private final ServerConnector callers;
+  private final ServerConnector mesh;
+  private final ServerConnector admin;
+  private final HttpClient client;
+  private final PeerParts peers;
+  private final TableService table;
+  private final ObjectStore store;
+  private final TableClaimRunner claims;
+  private final PublishedTable published;
+  private final AdmissionService admission;
+  private final ControlLoop control;
+  private final CommitRunner commits;
+  private final ListenerHandler handler;
+
+  private Node(NodeSettings settings) {
+    this.settings = settings;
+    decisions = decisions();
+    server = HttpParts.server(settings);
+    callers = listener("callers", settings.callerPort());
+    mesh = listener("mesh", settings.meshPort());
+    admin = listener("administration", settings.adminPort());
+    client = HttpParts.client(server.getThreadPool());
+    peers = new PeerParts(settings);
+    PlatformSettings platform =
+        new PlatformSettings(settings.platformUri(), settings.platformTimeoutMillis());
+    table = new HttpTableService(client, platform);
+    store = new HttpObjectStore(client, platform);
+    Quarantine quarantine = new Quarantine();
+    published = new PublishedTable(quarantine, clock);
+    EvidenceInbox inbox = new EvidenceInbox(evidenceCounter());
+    RunEvents events = new RunEvents(inbox);
+    Forwarder forwarder = new Forwarder(client, settings.bufferBytes());
+    claims = new TableClaimRunner(claimLedger(), table, clock);
+    admission = new AdmissionService(forwarder, claims, quarantine, events, decisions, clock);
+    control = control(quarantine);
+    events.bind(control);
+    peers.binding().bind(control);
+    commits = new CommitRunner(planner(), table, store, control::accepted);
+    control.add(rollout(inbox));
+    NodeMeters.register(registry, peers.counters(), control, admission);
+    handler = handler(forwarder);
+    server.setHandler(handler);
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings its settings
+   * @throws NodeException when it cannot start; nothing is left running
+   */
+  public static Node start(NodeSettings settings) {
+    Node node = new Node(settings);
+    try {
+      node.client.start();
+      node.server.start();
+    } catch (Exception e) {
+      node.stopAll();
+      throw new NodeException("cannot start node " + settings.nodeId(), e);
+    }
+    node.control.start(settings.seeds());
+    LOGGER.info(
+        "node {} listens: callers {}, mesh {}, control {}, administration {}",
+        settings.nodeId(),
+        node.callerPort(),
+        node.mesh.getLocalPort(),
+        node.controlPort(),
+        node.adminPort());
+    return node;
+  }
+
+  /** Returns the port that callers use. */
+  public int callerPort() {
+    return callers.getLocalPort();
+  }
+
+  /** Returns the port for control messages. */
+  public int controlPort() {
+    return peers.port();
+  }
+
+  /** Returns the port of the administration API, metrics, health and announcements. */
+  public int adminPort() {
+    return admin.getLocalPort();
+  }
+
+  /** Returns what the node knows of the mesh. */
+  public MeshSnapshot snapshot() {
+    return control.snapshot();
+  }
+
+  /** Returns whether the node may serve. */
+  public boolean ready() {
+    return published.table().isPresent();
+  }
+
+  private ServerConnector listener(String name, int port) {
+    return HttpParts.listener(server, name, settings.host(), port);
+  }
+
+  private DecisionListener decisions() {
+    DecisionLog log = new DecisionLog(settings.nodeId().value());
+    DecisionMeters meters = new DecisionMeters(registry);
+    return decision -> {
+      log.decided(decision);
+      recent.decided(decision);
+      meters.decided(decision);
+    };
+  }
+
+  private EvidenceCounter evidenceCounter() {
+    return new EvidenceCounter(
+        settings.nodeId(), settings.failureDomain(), SLOW_CALL_MILLIS, clock.millis());
+  }
+
+  /** Names this very process in claim rows, never the same for another start of the node. */
+  private ClaimLedger claimLedger() {
+    String start = Long.toString(clock.millis(), Character.MAX_RADIX);
+    String node = settings.nodeId().value();
+    String name = node.substring(0, Math.min(node.length(), CLAIM_NAME_CHARACTERS));
+    return new ClaimLedger(ClaimSettings.DEFAULT, new NodeId(name + ":" + start));
+  }
+
+  private Member self() {
+    return new Member(
+        settings.nodeId(),
+        settings.region(),
+        settings.failureDomain(),
+        new NodeAddress(settings.host(), peers.port()),
+        new NodeAddress(settings.host(), mesh.getLocalPort()),
+        clock.millis(),
+        MemberStatus.ALIVE,
+        ConfigurationVersion.NONE,
+        Optional.empty());
+  }
+
+  private ControlLoop control(Quarantine quarantine) {
+    ControlState state =
+        ControlStates.create(
+            self(),
+            quarantine,
+            new JsonDigester(new JsonCodec()),
+            settings.announcementMillis(),
+            seed());
+    ControlParts parts =
+        new ControlParts(
+            state,
+            peers.connections(),
+            published,
+            admission,
+            table,
+            store,
+            new ApplyLog(decisions, clock));
+    return new ControlLoop(parts, clock);
+  }
+
+  private static CommitPlanner planner() {
+    return new CommitPlanner(
+        ConfigurationChecker.forAcceptance(), new JsonDigester(new JsonCodec()));
+  }
+
+  private long seed() {
+    return settings.nodeId().value().hashCode() ^ System.nanoTime();
+  }
+
+  private RolloutTask rollout(EvidenceInbox inbox) {
+    return new RolloutTask(
+        settings.nodeId(),
+        control,
+        inbox,
+        new LeasedCommitter(settings.nodeId(), commits, clock),
+        decisions,
+        control.executor(),
+        new LeaseKeeper(settings.nodeId(), new SplittableRandom(seed())),
+        table,
+        clock);
+  }
+
+  private ListenerHandler handler(Forwarder forwarder) {
+    EntryService entry =
+        new EntryService(
+            settings.nodeId(),
+            published,
+            admission,
+            forwarder,
+            decisions,
+            clock,
+            settings.attemptTimeoutMillis());
+    Map<Connector, Handler> handlers =
+        Map.of(
+            callers,
+            new EntryHandler(entry, clock, settings.requestTimeoutMillis(), settings.bufferBytes()),
+            mesh,
+            new MeshHandler(admission, clock, settings.bufferBytes()),
+            admin,
+            new Handler.Sequence(
+                new AnnounceHandler(new JsonCodec(), control::announced),
+                new MetricsHandler(registry, this::ready)));
+    return new ListenerHandler(handlers, new DrainTracker(0, settings.drainMillis()));
+  }
+
+  /**
+   * Stops gracefully: the mesh hears first and sends no new work, then the requests in flight are
+   * waited for, at most as long as the settings say.
+   */
+  @Override
+  public void close() {
+    control.drain();
+    pause(NOTICE_MILLIS);
+    control.leave();
+    handler.drain(clock.millis());
+    callers.shutdown();
+    DrainState state = handler.drainState(clock.millis());
+    while (!(state instanceof DrainState.Done)) {
+      pause(DRAIN_POLL_MILLIS);
+      state = handler.drainState(clock.millis());
+    }
+    LOGGER.info("node {} stops: {}", settings.nodeId(), state);
+    stopAll();
+  }
+
+  private void stopAll() {
+    control.close();
+    claims.close();
+    stop(server);
+    stop(client);
+    peers.close();
+  }
+
+  private static void stop(LifeCycle part) {
+    try {
+      part.stop();
+    } catch (Exception e) {
+      LOGGER.warn("a part did not stop in good order", e);
+    }
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunOutcomes.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunOutcomes.java
@@ -29,12 +29,15 @@
 
   private static RunOutcome ofEnd(AttemptEnd end) {
     return switch (end) {
-      case AttemptEnd.Refused refused -> RunOutcome.NOT_SENT;
-      case AttemptEnd.NoUpstream none -> RunOutcome.NOT_SENT;
-      case AttemptEnd.NotConnected none -> RunOutcome.NOT_SENT;
-      case AttemptEnd.Broken broken -> RunOutcome.BROKEN;
-      case AttemptEnd.TimedOut late -> RunOutcome.TIMED_OUT;
-      case AttemptEnd.Truncated cut -> RunOutcome.BROKEN;
+      case AttemptEnd.Broken _, AttemptEnd.Truncated _ -> RunOutcome.BROKEN;
+      case AttemptEnd.TimedOut _ -> RunOutcome.TIMED_OUT;
+      case AttemptEnd.Refused _,
+          AttemptEnd.NotClaimed _,
+          AttemptEnd.Duplicate _,
+          AttemptEnd.KeyReused _,
+          AttemptEnd.NoUpstream _,
+          AttemptEnd.NotConnected _ ->
+          RunOutcome.NOT_SENT;
     };
   }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/TableClaimRunner.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/TableClaimRunner.java
@@ -39,7 +39,12 @@
   private static final long POLL_MILLIS = 2;
 
   private record Pending(
-      Supplier<CompletableFuture<Answer>> run, CompletableFuture<Answer> answer) {}
+      Supplier<CompletableFuture<Answer>> run, CompletableFuture<Answer> answer) {
+
+    void end(AttemptEnd end) {
+      answer.complete(new Answer.Ended(end));
+    }
+  }
 
   private final ClaimLedger ledger;
   private final TableService table;
@@ -81,19 +86,14 @@
         poll();
       }
       case ClaimDecision.Replay(StoredAnswer stored) -> request.answer().complete(replay(stored));
-      case ClaimDecision.HasRun run -> request.answer().complete(duplicate(OutcomeWord.HAS_RUN));
-      case ClaimDecision.InProgress progress ->
-          request.answer().complete(duplicate(OutcomeWord.IN_PROGRESS));
-      case ClaimDecision.MayHaveRun may ->
-          request.answer().complete(duplicate(OutcomeWord.MAY_HAVE_RUN));
-      case ClaimDecision.KeyReused reused ->
-          request
-              .answer()
-              .complete(
-                  new Answer.Told(
-                      OutcomeWord.NOT_RUN, ResponseHeaders.KEY_REUSED_STATUS, "key-reused"));
+      case ClaimDecision.HasRun _ -> request.end(new AttemptEnd.Duplicate(OutcomeWord.HAS_RUN));
+      case ClaimDecision.InProgress _ ->
+          request.end(new AttemptEnd.Duplicate(OutcomeWord.IN_PROGRESS));
+      case ClaimDecision.MayHaveRun _ ->
+          request.end(new AttemptEnd.Duplicate(OutcomeWord.MAY_HAVE_RUN));
+      case ClaimDecision.KeyReused _ -> request.end(new AttemptEnd.KeyReused());
       case ClaimDecision.Unavailable(ClaimRefusal reason) ->
-          request.answer().complete(notRun(reason));
+          request.end(new AttemptEnd.NotClaimed(reason));
     }
   }
 
@@ -157,9 +157,9 @@
       switch (resolution) {
         case ClaimResolution.Run(IdempotencyKey key) -> runNow(key, request);
         case ClaimResolution.NotRun(IdempotencyKey key, ClaimRefusal reason) ->
-            request.answer().complete(notRun(reason));
+            request.end(new AttemptEnd.NotClaimed(reason));
         case ClaimResolution.MayHaveRun(IdempotencyKey key) ->
-            request.answer().complete(duplicate(OutcomeWord.MAY_HAVE_RUN));
+            request.end(new AttemptEnd.Duplicate(OutcomeWord.MAY_HAVE_RUN));
       }
     }
   }
@@ -201,14 +201,6 @@
     return new Answer.Whole(stored.status(), fields, stored.body());
   }
 
-  private static Answer duplicate(OutcomeWord word) {
-    return new Answer.Told(word, ResponseHeaders.DUPLICATE_STATUS, "duplicate");
-  }
-
-  private static Answer notRun(ClaimRefusal reason) {
-    return new Answer.Told(OutcomeWord.NOT_RUN, ResponseHeaders.NOT_RUN_STATUS, reason.word());
-  }
-
   @Override
   public void close() {
     thread.shutdownNow();
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
@@ -0,0 +1,131 @@
+package io.hemlockbend.node.commit;
+
+import io.hemlockbend.core.acceptance.ChangeSet;
+import io.hemlockbend.core.acceptance.CommitOrder;
+import io.hemlockbend.core.acceptance.CommitOutcome;
+import io.hemlockbend.core.acceptance.CommitPlanner;
+import io.hemlockbend.core.acceptance.CommitSettlement;
+import io.hemlockbend.core.acceptance.RetryBudget;
+import io.hemlockbend.core.acceptance.SettlementEvent;
+import io.hemlockbend.core.acceptance.SettlementStep;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.table.Row;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.core.table.RowValue;
+import io.hemlockbend.platform.ObjectStore;
+import io.hemlockbend.platform.PlatformException;
+import io.hemlockbend.platform.TableService;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+
+/**
+ * Carries out the steps of a commit against the platform until its outcome is known. Each commit
+ * has a settlement of its own, whose steps run one after another.
+ */
+public final class CommitRunner {
+  private final CommitPlanner planner;
+  private final TableService table;
+  private final ObjectStore store;
+  private final AcceptListener listener;
+
+  /**
+   * Makes a runner.
+   *
+   * @param planner plans acceptances
+   * @param table the platform's table
+   * @param store the platform's object store
+   * @param listener hears of acceptances
+   */
+  public CommitRunner(
+      CommitPlanner planner, TableService table, ObjectStore store, AcceptListener listener) {
+    this.planner = planner;
+    this.table = table;
+    this.store = store;
+    this.listener = listener;
+  }
+
+  /**
+   * Commits changes.
+   *
+   * @param order who commits and under which id
+   * @param direct the changes, or empty for those that the author has staged
+   * @param resent whether the commit id may have been sent before
+   * @return what became of the commit; never fails
+   */
+  public CompletableFuture<CommitOutcome> run(
+      CommitOrder order, Optional<ChangeSet> direct, boolean resent) {
+    RetryBudget budget =
+        new RetryBudget(RetryBudget.DEFAULT_FAILURES, new SplittableRandom(System.nanoTime()));
+    CommitSettlement settlement = new CommitSettlement(planner, order, direct, resent, budget);
+    return advance(settlement, settlement.start()).thenApply(this::tell);
+  }
+
+  private CompletableFuture<CommitOutcome> advance(
+      CommitSettlement settlement, SettlementStep step) {
+    if (step instanceof SettlementStep.Done(CommitOutcome outcome)) {
+      return CompletableFuture.completedFuture(outcome);
+    }
+    return carryOut(step)
+        .exceptionally(CommitRunner::failed)
+        .thenCompose(event -> advance(settlement, settlement.on(event)));
+  }
+
+  private CompletableFuture<SettlementEvent> carryOut(SettlementStep step) {
+    return switch (step) {
+      case SettlementStep.ReadRow read ->
+          table.read(read.key()).thenApply(SettlementEvent.RowRead::new);
+      case SettlementStep.ReadHistory range ->
+          readHistory(range).thenApply(SettlementEvent.HistoryRead::new);
+      case SettlementStep.FetchBody fetch ->
+          store.fetch(fetch.digest()).thenApply(SettlementEvent.BodyFetched::new);
+      case SettlementStep.PutBody put ->
+          store
+              .put(put.digest(), put.configuration())
+              .thenApply(done -> new SettlementEvent.BodyPut());
+      case SettlementStep.Transact transact ->
+          table.transact(transact.transaction()).thenApply(SettlementEvent.Transacted::new);
+      case SettlementStep.Wait wait -> waited(wait.delayMillis());
+      case SettlementStep.Done done -> throw new IllegalStateException("the commit is done");
+    };
+  }
+
+  private CompletableFuture<List<RowValue.History>> readHistory(SettlementStep.ReadHistory range) {
+    List<CompletableFuture<Optional<Row>>> reads =
+        LongStream.rangeClosed(range.after().value() + 1, range.last().value())
+            .mapToObj(version -> table.read(RowKey.history(new ConfigurationVersion(version))))
+            .toList();
+    return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+        .thenApply(
+            done ->
+                reads.stream()
+                    .flatMap(read -> read.join().stream())
+                    .map(row -> (RowValue.History) row.value())
+                    .toList());
+  }
+
+  private static CompletableFuture<SettlementEvent> waited(long millis) {
+    return CompletableFuture.supplyAsync(
+        SettlementEvent.Waited::new,
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS));
+  }
+
+  private static SettlementEvent failed(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    boolean mayHaveApplied = !(cause instanceof PlatformException.NotApplied);
+    return new SettlementEvent.Failed(mayHaveApplied, cause.getMessage());
+  }
+
+  private CommitOutcome tell(CommitOutcome outcome) {
+    if (outcome instanceof CommitOutcome.Accepted accepted) {
+      accepted
+          .plan()
+          .ifPresent(plan -> listener.accepted(accepted.mark(), plan.next(), accepted.changes()));
+    }
+    return outcome;
+  }
+}
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.brake.BrakeSet;
 import io.hemlockbend.core.distribution.DistributionEffect;
 import io.hemlockbend.core.message.Outbound;
 import io.hemlockbend.core.message.PeerMessage;
@@ -19,10 +20,14 @@
 import io.hemlockbend.core.routing.RoutingInput;
 import io.hemlockbend.core.routing.RoutingTable;
 import io.hemlockbend.node.admission.AdmissionService;
+import io.hemlockbend.node.rollout.MeshAccess;
 import io.hemlockbend.wire.PeerConnections;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -33,10 +38,11 @@
  * one thread; what traffic threads need leaves it as an immutable routing table and an admission
  * gate.
  */
-public final class ControlLoop implements AutoCloseable {
+public final class ControlLoop implements MeshAccess, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(ControlLoop.class);
   private static final long TICK_MILLIS = 50;
   private static final long REBUILD_MILLIS = 500;
+  private static final long VIEW_MILLIS = 100;
 
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(
@@ -48,10 +54,12 @@
   private final ApplyListener applied;
   private final Clock clock;
   private final PlatformReads reads;
-  private final List<ControlTask> tasks;
+  private final List<ControlTask> tasks = new ArrayList<>();
   private long knownChanges = -1;
   private long builtMillis;
   private boolean stale = true;
+  private long viewMillis;
+  private volatile MeshSnapshot view = MeshSnapshot.NONE;
 
   /**
    * Makes the loop; {@link #start} runs it.
@@ -65,13 +73,17 @@
     this.published = parts.published();
     this.admission = parts.admission();
     this.applied = parts.applied();
-    this.tasks = parts.tasks();
     this.clock = clock;
     this.reads =
         new PlatformReads(
             parts.table(), parts.store(), state.distributor, thread, clock, this::carryOut);
   }
 
+  /** Adds work; only before the loop starts. */
+  public void add(ControlTask task) {
+    tasks.add(task);
+  }
+
   /**
    * Starts the loop and joins the mesh.
    *
@@ -83,6 +95,11 @@
         () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Returns what the node knew of the mesh a moment ago; for any thread. */
+  public MeshSnapshot snapshot() {
+    return view;
+  }
+
   /** Returns the control thread, for tasks that touch the control state. */
   public Executor executor() {
     return this::execute;
@@ -119,8 +136,33 @@
         () -> carryOut(state.distributor.accepted(mark, configuration, changes, clock.millis())));
   }
 
-  /** Brakes versions on the evidence of this node. */
-  void brake(List<Brake> found) {
+  @Override
+  public Collection<Member> members() {
+    return state.membership.members();
+  }
+
+  @Override
+  public Configuration configuration() {
+    return state.distributor.configuration();
+  }
+
+  @Override
+  public BrakeSet brakes() {
+    return state.brakes;
+  }
+
+  @Override
+  public boolean current() {
+    return state.distributor.ready() && !state.membership.fenced();
+  }
+
+  @Override
+  public void send(Outbound outbound) {
+    peers.send(outbound);
+  }
+
+  @Override
+  public void brake(List<Brake> found) {
     if (found.isEmpty()) {
       return;
     }
@@ -145,7 +187,11 @@
   }
 
   private void execute(Runnable task) {
-    thread.execute(() -> guarded(task));
+    try {
+      thread.execute(() -> guarded(task));
+    } catch (RejectedExecutionException e) {
+      LOGGER.debug("the control loop has stopped; a task is dropped");
+    }
   }
 
   private void guarded(Runnable task) {
@@ -169,6 +215,15 @@
     tasks.forEach(task -> task.tick(now));
     refresh(now);
     admission.expire();
+    publishView(now);
+  }
+
+  private void publishView(long now) {
+    if (now - viewMillis < VIEW_MILLIS) {
+      return;
+    }
+    viewMillis = now;
+    view = new MeshSnapshot(state.distributor.mark(), configuration(), List.copyOf(members()));
   }
 
   private void received(PeerMessage message) {
@@ -260,7 +315,7 @@
   }
 
   private void refresh(long now) {
-    if (!state.distributor.ready() || state.membership.fenced()) {
+    if (!current()) {
       published.fence();
       state.upstream.endpoint().ifPresent(endpoint -> admission.gate(gate(now)));
       stale = true;
@@ -291,9 +346,8 @@
     Endpoint endpoint = state.upstream.endpoint().orElseThrow();
     Configuration configuration = state.distributor.configuration();
     Member self = state.membership.self();
-    boolean serving = state.distributor.ready() && !state.membership.fenced();
     return AdmissionGates.of(
-        serving ? endpoint.state() : EndpointState.DOWN,
+        current() ? endpoint.state() : EndpointState.DOWN,
         endpoint.key(),
         configuration.domains().get(self.domain()),
         !configuration.usable(endpoint.key()) || state.brakes.binds(endpoint.key()),
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlParts.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlParts.java
@@ -4,7 +4,6 @@
 import io.hemlockbend.platform.ObjectStore;
 import io.hemlockbend.platform.TableService;
 import io.hemlockbend.wire.PeerConnections;
-import java.util.List;
 
 /**
  * What the control loop drives.
@@ -16,7 +15,6 @@
  * @param table the platform's table
  * @param store the platform's object store
  * @param applied hears of configurations put in force
- * @param tasks work done besides
  */
 public record ControlParts(
     ControlState state,
@@ -25,5 +23,4 @@
     AdmissionService admission,
     TableService table,
     ObjectStore store,
-    ApplyListener applied,
-    List<ControlTask> tasks) {}
+    ApplyListener applied) {}
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/EndWords.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/EndWords.java
@@ -1,11 +1,14 @@
 package io.hemlockbend.node.forward;
 
 import io.hemlockbend.core.admission.RefusalReason;
+import io.hemlockbend.core.claim.ClaimRefusal;
 import io.hemlockbend.core.retry.AttemptEnd;
 import io.hemlockbend.core.retry.OutcomeWord;
 import io.hemlockbend.core.retry.ResponseHeaders;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Writes how a try ended as status, outcome and reason, and reads it back at the entry. */
 final class EndWords {
@@ -14,8 +17,14 @@
   private static final String BROKEN = "connection-broken";
   private static final String TIMED_OUT = "timed-out";
   private static final String TRUNCATED = "answer-truncated";
-  private static final Map<String, RefusalReason> REASONS = reasons();
-  private static final Map<String, OutcomeWord> WORDS = words();
+  private static final String DUPLICATE = "duplicate";
+  private static final String KEY_REUSED = "key-reused";
+  private static final Map<String, RefusalReason> REASONS =
+      byWord(RefusalReason.values(), RefusalReason::word);
+  private static final Map<String, ClaimRefusal> CLAIM_REASONS =
+      byWord(ClaimRefusal.values(), ClaimRefusal::word);
+  private static final Map<String, OutcomeWord> WORDS =
+      byWord(OutcomeWord.values(), OutcomeWord::word);
 
   private EndWords() {}
 
@@ -23,35 +32,41 @@
   static Answer.Told told(AttemptEnd end) {
     return switch (end) {
       case AttemptEnd.Refused(RefusalReason reason) -> notRun(reason.word());
-      case AttemptEnd.NoUpstream none -> notRun(NO_UPSTREAM);
-      case AttemptEnd.NotConnected none -> notRun(NOT_CONNECTED);
-      case AttemptEnd.Broken broken -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, BROKEN);
-      case AttemptEnd.TimedOut late -> mayHaveRun(ResponseHeaders.TIMED_OUT_STATUS, TIMED_OUT);
-      case AttemptEnd.Truncated cut -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, TRUNCATED);
+      case AttemptEnd.NotClaimed(ClaimRefusal reason) -> notRun(reason.word());
+      case AttemptEnd.Duplicate(OutcomeWord word) ->
+          new Answer.Told(word, ResponseHeaders.DUPLICATE_STATUS, DUPLICATE);
+      case AttemptEnd.KeyReused _ ->
+          new Answer.Told(OutcomeWord.NOT_RUN, ResponseHeaders.KEY_REUSED_STATUS, KEY_REUSED);
+      case AttemptEnd.NoUpstream _ -> notRun(NO_UPSTREAM);
+      case AttemptEnd.NotConnected _ -> notRun(NOT_CONNECTED);
+      case AttemptEnd.Broken _ -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, BROKEN);
+      case AttemptEnd.TimedOut _ -> mayHaveRun(ResponseHeaders.TIMED_OUT_STATUS, TIMED_OUT);
+      case AttemptEnd.Truncated _ -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, TRUNCATED);
     };
   }
 
   /** Reads what another node told; unknown words count as "may have run". */
-  static Answer read(String word, int status, String reason) {
+  static Answer.Ended read(String word, int status, String reason) {
     OutcomeWord outcome = WORDS.getOrDefault(word, OutcomeWord.MAY_HAVE_RUN);
-    return switch (outcome) {
-      case NOT_RUN -> new Answer.Ended(notRunEnd(reason));
-      case MAY_HAVE_RUN -> mayHaveRunEnd(status, reason);
-      case IN_PROGRESS, HAS_RUN -> new Answer.Told(outcome, status, reason);
-    };
+    return new Answer.Ended(end(outcome, status, reason));
   }
 
-  private static Answer mayHaveRunEnd(int status, String reason) {
+  private static AttemptEnd end(OutcomeWord outcome, int status, String reason) {
     return switch (status) {
-      case ResponseHeaders.TIMED_OUT_STATUS -> new Answer.Ended(new AttemptEnd.TimedOut());
-      case ResponseHeaders.BROKEN_STATUS -> new Answer.Ended(new AttemptEnd.Broken());
-      default -> new Answer.Told(OutcomeWord.MAY_HAVE_RUN, status, reason);
+      case ResponseHeaders.DUPLICATE_STATUS -> new AttemptEnd.Duplicate(outcome);
+      case ResponseHeaders.KEY_REUSED_STATUS -> new AttemptEnd.KeyReused();
+      case ResponseHeaders.TIMED_OUT_STATUS -> new AttemptEnd.TimedOut();
+      default -> outcome == OutcomeWord.NOT_RUN ? notRunEnd(reason) : new AttemptEnd.Broken();
     };
   }
 
   private static AttemptEnd notRunEnd(String reason) {
     RefusalReason refusal = REASONS.get(reason);
-    return refusal == null ? new AttemptEnd.NotConnected() : new AttemptEnd.Refused(refusal);
+    if (refusal != null) {
+      return new AttemptEnd.Refused(refusal);
+    }
+    ClaimRefusal claim = CLAIM_REASONS.get(reason);
+    return claim == null ? new AttemptEnd.NotConnected() : new AttemptEnd.NotClaimed(claim);
   }
 
   private static Answer.Told notRun(String reason) {
@@ -62,19 +77,7 @@
     return new Answer.Told(OutcomeWord.MAY_HAVE_RUN, status, reason);
   }
 
-  private static Map<String, RefusalReason> reasons() {
-    Map<String, RefusalReason> reasons = new HashMap<>();
-    for (RefusalReason reason : RefusalReason.values()) {
-      reasons.put(reason.word(), reason);
-    }
-    return Map.copyOf(reasons);
-  }
-
-  private static Map<String, OutcomeWord> words() {
-    Map<String, OutcomeWord> words = new HashMap<>();
-    for (OutcomeWord word : OutcomeWord.values()) {
-      words.put(word.word(), word);
-    }
-    return Map.copyOf(words);
+  private static <T> Map<String, T> byWord(T[] values, Function<T, String> word) {
+    return Stream.of(values).collect(Collectors.toUnmodifiableMap(word, Function.identity()));
   }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/local/AnnounceHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/local/AnnounceHandler.java
@@ -65,8 +65,7 @@
       response.setStatus(HttpStatus.NO_CONTENT_204);
       callback.succeeded();
     } catch (CodecException e) {
-      Response.writeError(
-          request, response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage());
+      Response.writeError(request, response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage());
     }
   }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/metrics/DecisionMeters.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/metrics/DecisionMeters.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 
-/** Counts decisions as {@code hemlockbend_decisions_total} by kind, refusal and refusal's reason. */
+/**
+ * Counts decisions as {@code hemlockbend_decisions_total} by kind, refusal and refusal's reason.
+ */
 public final class DecisionMeters implements DecisionListener {
   private static final String NO_REASON = "none";
 
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/ChangeCommitter.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/ChangeCommitter.java
@@ -12,9 +12,11 @@
   /**
    * Commits the changes together.
    *
+   * @param mesh the control state; read before the call returns
    * @param changes the changes
    * @param conditions what must hold besides, such as the lease
    * @return what became of the commit; never fails
    */
-  CompletableFuture<CommitOutcome> commit(List<Change> changes, List<Condition> conditions);
+  CompletableFuture<CommitOutcome> commit(
+      MeshAccess mesh, List<Change> changes, List<Condition> conditions);
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
@@ -155,14 +155,15 @@
   private void commit(RolloutDecision decision, HeldLease held) {
     committing = true;
     committer
-        .commit(List.of(decision.change().orElseThrow()), List.of(held.condition()))
+        .commit(mesh, List.of(decision.change().orElseThrow()), List.of(held.condition()))
         .whenCompleteAsync((outcome, failure) -> committed(decision, outcome, failure), control);
   }
 
   private void committed(RolloutDecision decision, CommitOutcome outcome, Throwable failure) {
     committing = false;
     boolean accepted = failure == null && outcome instanceof CommitOutcome.Accepted;
-    String result = accepted ? "accepted" : "not accepted: " + (failure == null ? outcome : failure);
+    String result =
+        accepted ? "accepted" : "not accepted: " + (failure == null ? outcome : failure);
     decisions.decided(
         new DecisionRecord(
             clock.millis(),
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/ApplyTimeProbe.java
@@ -0,0 +1,52 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.codec.JsonDigester;
+import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.model.ChangeApplier;
+import io.hemlockbend.core.model.Configuration;
+import java.util.List;
+
+/** Measures the application of one change with the check of its digest. */
+final class ApplyTimeProbe implements Probe {
+  private static final double NANOS_PER_MICRO = 1e3;
+
+  private final JsonDigester digester = new JsonDigester(new JsonCodec());
+
+  @Override
+  public String role() {
+    return "distribution";
+  }
+
+  @Override
+  public String name() {
+    return "one change applied and verified";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "services";
+  }
+
+  @Override
+  public String unit() {
+    return "us";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(50, 100, 200, 350);
+  }
+
+  @Override
+  public int target() {
+    return Fleet.TARGET_SERVICES;
+  }
+
+  @Override
+  public double measure(int size) {
+    Configuration base = Fleet.configuration(size);
+    List<Change> change = List.of(new Change.PutRoute(Fleet.route(0, 9)));
+    return Timing.nanos(() -> digester.digest(ChangeApplier.apply(base, change))) / NANOS_PER_MICRO;
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/DeltaBytesProbe.java
@@ -0,0 +1,54 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.codec.MessagePackCodec;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.message.PeerMessage.Delta;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import io.hemlockbend.core.model.Change;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** Measures the bytes of a delta on the wire. */
+final class DeltaBytesProbe implements Probe {
+  private final MessagePackCodec codec = new MessagePackCodec();
+
+  @Override
+  public String role() {
+    return "distribution";
+  }
+
+  @Override
+  public String name() {
+    return "delta on the wire";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "changes in it";
+  }
+
+  @Override
+  public String unit() {
+    return "bytes";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(1, 2, 4, 8);
+  }
+
+  @Override
+  public int target() {
+    return 1;
+  }
+
+  @Override
+  public double measure(int size) {
+    List<List<Change>> steps =
+        IntStream.range(0, size)
+            .mapToObj(i -> List.<Change>of(new Change.PutRoute(Fleet.route(i, 1))))
+            .toList();
+    Delta delta = new Delta(new NodeId("node-1"), VersionMark.NONE, VersionMark.NONE, steps);
+    return codec.encode(delta).length;
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingBytesProbe.java
@@ -0,0 +1,55 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.codec.MessagePackCodec;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.message.PeerMessage.Ping;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import java.util.List;
+
+/** Measures the bytes of a ping on the wire. */
+final class PingBytesProbe implements Probe {
+  private final MessagePackCodec codec = new MessagePackCodec();
+
+  @Override
+  public String role() {
+    return "membership";
+  }
+
+  @Override
+  public String name() {
+    return "ping on the wire";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "claims in it";
+  }
+
+  @Override
+  public String unit() {
+    return "bytes";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(0, 2, 4, 6, 8);
+  }
+
+  @Override
+  public int target() {
+    return 6;
+  }
+
+  @Override
+  public double measure(int size) {
+    Ping ping =
+        new Ping(
+            new NodeId("node-1"),
+            1,
+            VersionMark.NONE,
+            Fleet.members(size, Fleet.TARGET_SERVICES),
+            List.of(),
+            List.of());
+    return codec.encode(ping).length;
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingTimeProbe.java
@@ -0,0 +1,56 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.membership.Membership;
+import io.hemlockbend.core.message.PeerMessage.Ping;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import java.util.List;
+
+/** Measures the answer to a ping that brings six claims. */
+final class PingTimeProbe implements Probe {
+  private static final int CLAIMS = 6;
+
+  @Override
+  public String role() {
+    return "membership";
+  }
+
+  @Override
+  public String name() {
+    return "ping taken in and answered";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "members";
+  }
+
+  @Override
+  public String unit() {
+    return "ns";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(100, 400, 800, 1600, 3100);
+  }
+
+  @Override
+  public int target() {
+    return Fleet.TARGET_UPSTREAMS;
+  }
+
+  @Override
+  public double measure(int size) {
+    Membership membership = Meshes.knowing(size);
+    Ping ping =
+        new Ping(
+            new NodeId("node-1"),
+            1,
+            VersionMark.NONE,
+            Fleet.members(CLAIMS, Fleet.TARGET_SERVICES),
+            List.of(),
+            List.of());
+    return Timing.nanos(() -> membership.receive(ping, Meshes.NOW_MILLIS));
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
@@ -0,0 +1,77 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.routing.Exclusions;
+import io.hemlockbend.core.routing.Router;
+import io.hemlockbend.core.routing.RoutingInput;
+import io.hemlockbend.core.routing.RoutingRequest;
+import io.hemlockbend.core.routing.RoutingTable;
+import io.hemlockbend.core.routing.UpstreamView;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Measures the choice of an upstream. */
+final class RoutingDecisionProbe implements Probe {
+  private static final UpstreamView IDLE =
+      new UpstreamView() {
+        @Override
+        public int outstanding(UpstreamId upstream) {
+          return 0;
+        }
+
+        @Override
+        public boolean ejected(UpstreamId upstream) {
+          return false;
+        }
+      };
+
+  @Override
+  public String role() {
+    return "entry";
+  }
+
+  @Override
+  public String name() {
+    return "routing decision";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "upstreams of a service";
+  }
+
+  @Override
+  public String unit() {
+    return "ns";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(4, 9, 18, 36, 72);
+  }
+
+  @Override
+  public int target() {
+    return 9;
+  }
+
+  @Override
+  public double measure(int size) {
+    RoutingTable table =
+        RoutingTable.build(
+            new RoutingInput(
+                Fleet.configuration(Fleet.TARGET_SERVICES),
+                Fleet.members(size * Fleet.TARGET_SERVICES, Fleet.TARGET_SERVICES),
+                Set.of(),
+                new FailureDomain("domain-0"),
+                0));
+    Router router = new Router(IDLE);
+    SplittableRandom random = new SplittableRandom(size);
+    RoutingRequest request =
+        new RoutingRequest(new RequestId("request-1"), "/service-7/part-1/item", Exclusions.NONE);
+    return Timing.nanos(() -> router.decide(table, request, random));
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableTimeProbe.java
@@ -0,0 +1,54 @@
+package io.hemlockbend.testkit.capacity;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.routing.RoutingInput;
+import io.hemlockbend.core.routing.RoutingTable;
+import java.util.List;
+import java.util.Set;
+
+/** Measures making the routing table after a change of the members. */
+final class RoutingTableTimeProbe implements Probe {
+  private static final double NANOS_PER_MICRO = 1e3;
+
+  @Override
+  public String role() {
+    return "entry";
+  }
+
+  @Override
+  public String name() {
+    return "routing table, made anew";
+  }
+
+  @Override
+  public String sizeUnit() {
+    return "members";
+  }
+
+  @Override
+  public String unit() {
+    return "us";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(100, 400, 800, 1600, 3100);
+  }
+
+  @Override
+  public int target() {
+    return Fleet.TARGET_UPSTREAMS;
+  }
+
+  @Override
+  public double measure(int size) {
+    RoutingInput input =
+        new RoutingInput(
+            Fleet.configuration(Fleet.TARGET_SERVICES),
+            Fleet.members(size, Fleet.TARGET_SERVICES),
+            Set.of(),
+            new FailureDomain("domain-0"),
+            0);
+    return Timing.nanos(() -> RoutingTable.build(input)) / NANOS_PER_MICRO;
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/EmbeddedMesh.java
@@ -0,0 +1,87 @@
+package io.hemlockbend.testkit.mesh;
+
+import io.hemlockbend.testkit.platform.PlatformServer;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * A platform stand-in, some stand-in upstreams and the real node beside each, in one process.
+ *
+ * <p>Example: {@code try (EmbeddedMesh mesh = EmbeddedMesh.start(specs, "", 1)) { ... }}.
+ */
+public final class EmbeddedMesh implements AutoCloseable {
+  private final PlatformServer platform;
+  private final List<EmbeddedUpstream> members;
+
+  private EmbeddedMesh(PlatformServer platform, List<EmbeddedUpstream> members) {
+    this.platform = platform;
+    this.members = List.copyOf(members);
+  }
+
+  /**
+   * Starts the mesh.
+   *
+   * @param specs the upstreams
+   * @param tokens operators' tokens, as the node's setting takes them
+   * @param seed draws the platform's lost answers
+   */
+  public static EmbeddedMesh start(List<UpstreamSpec> specs, String tokens, long seed) {
+    PlatformServer platform = PlatformServer.onLoopback(seed);
+    List<EmbeddedUpstream> members = new ArrayList<>();
+    for (UpstreamSpec spec : specs) {
+      String seeds = members.isEmpty() ? "" : seed(members.getFirst());
+      members.add(EmbeddedUpstream.start(spec, platform.uri(), seeds, tokens));
+    }
+    return new EmbeddedMesh(platform, members);
+  }
+
+  private static String seed(EmbeddedUpstream member) {
+    return "127.0.0.1:" + member.node().controlPort();
+  }
+
+  /** Returns the platform stand-in. */
+  public PlatformServer platform() {
+    return platform;
+  }
+
+  /** Returns the upstreams with their nodes, in the order of the specs. */
+  public List<EmbeddedUpstream> members() {
+    return members;
+  }
+
+  /** Returns where callers reach a node. */
+  public URI entry(int index) {
+    return URI.create("http://127.0.0.1:" + members.get(index).node().callerPort());
+  }
+
+  /** Returns where callers reach the nodes. */
+  public List<URI> entries() {
+    return members.stream()
+        .map(member -> URI.create("http://127.0.0.1:" + member.node().callerPort()))
+        .toList();
+  }
+
+  /** Returns whether every node serves and knows every upstream. */
+  public boolean settled() {
+    return members.stream().allMatch(member -> member.node().ready() && knowsAll(member));
+  }
+
+  private boolean knowsAll(EmbeddedUpstream member) {
+    long known =
+        member.node().snapshot().members().stream()
+            .filter(other -> other.endpoint().isPresent())
+            .count();
+    return known == members.size();
+  }
+
+  @Override
+  public void close() {
+    try (ExecutorService closers = Executors.newVirtualThreadPerTaskExecutor()) {
+      members.forEach(member -> closers.submit(member::close));
+    }
+    platform.close();
+  }
+}
