--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/brake/BrakeDetector.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/brake/BrakeDetector.java
@@ -3,7 +3,6 @@
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.evidence.EvidenceWindow;
 import io.hemlockbend.core.evidence.Verdict;
-import io.hemlockbend.core.evidence.VersionComparison;
 import io.hemlockbend.core.message.PeerMessage.Brake;
 import io.hemlockbend.core.model.Configuration;
 import io.hemlockbend.core.model.Move;
@@ -30,13 +29,10 @@
     List<Brake> found = new ArrayList<>();
     for (Move move : configuration.moves().values()) {
       VersionKey to = new VersionKey(move.service(), move.to());
-      VersionKey from = new VersionKey(move.service(), move.from());
       if (known.binds(to)) {
         continue;
       }
-      Verdict verdict =
-          VersionComparison.judge(window.strata(from, to, nowMillis), move.startMillis());
-      if (verdict instanceof Verdict.Bad bad) {
+      if (window.verdict(move, nowMillis) instanceof Verdict.Bad bad) {
         found.add(new Brake(to, configuration.version(), bad.reason()));
       }
     }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/EvidenceWindow.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/EvidenceWindow.java
@@ -1,25 +1,29 @@
 package io.hemlockbend.core.evidence;
 
-import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
-import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.message.PeerMessage.EvidenceReport;
 import io.hemlockbend.core.message.PeerMessage.RouteEvidence;
+import io.hemlockbend.core.model.Move;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
- * Gathers the reports of many nodes in buckets of a second and keeps the last two minutes. A report
- * counts once, however often and in whatever order it comes.
+ * Gathers the reports of many nodes in buckets of a second, keeps the last two minutes and judges
+ * the moves that it is asked about. A report counts once, however often and in whatever order it
+ * comes.
  *
  * <p>A report is put where it arrives in time, since it carries no time of its own. Nodes report at
  * the full seconds of their clocks, so the buckets change at the half seconds: reports that are
  * late by less than half a second meet those of the same second.
+ *
+ * <p>Each bucket is compared once, when it is over, so the work grows with the routes and domains
+ * of the services that move and not with the time kept.
  */
 public final class EvidenceWindow {
   /** How long evidence is kept. */
@@ -28,13 +32,9 @@
   /** The length of a bucket. */
   public static final long BUCKET_MILLIS = 1_000;
 
-  private static final Comparator<Stratum> ORDER =
-      Comparator.comparingLong(Stratum::atMillis)
-          .thenComparing(Stratum::route)
-          .thenComparing(Stratum::domain);
-
-  private final Map<VersionKey, Map<Place, TreeMap<Long, Counts>>> series = new HashMap<>();
+  private final Map<VersionKey, TreeMap<Long, SortedMap<Place, Counts>>> buckets = new HashMap<>();
   private final Map<NodeId, SeenSequences> seen = new HashMap<>();
+  private final Map<MoveKey, VersionComparison> comparisons = new HashMap<>();
 
   /**
    * Adds a report, unless it was added before.
@@ -53,18 +53,34 @@
   }
 
   /**
-   * Drops what is older than the window keeps.
+   * Drops what is older than the window keeps, and the judgement of moves that nobody asked about
+   * for that long.
    *
    * @param nowMillis the time in milliseconds since the epoch
    */
   public void expire(long nowMillis) {
     long oldest = bucketStart(nowMillis - KEPT_MILLIS);
-    for (Map<Place, TreeMap<Long, Counts>> places : series.values()) {
-      places.values().forEach(buckets -> buckets.headMap(oldest).clear());
-      places.values().removeIf(TreeMap::isEmpty);
-    }
-    series.values().removeIf(Map::isEmpty);
+    buckets.values().forEach(byTime -> byTime.headMap(oldest).clear());
+    buckets.values().removeIf(TreeMap::isEmpty);
     seen.values().removeIf(sequences -> sequences.lastMillis < nowMillis - KEPT_MILLIS);
+    comparisons.values().removeIf(comparison -> comparison.askedMillis() < nowMillis - KEPT_MILLIS);
+  }
+
+  /**
+   * Judges the version that a move goes to against its predecessor.
+   *
+   * @param move the move; calls count towards good only from when it had its present share
+   * @param nowMillis the time in milliseconds since the epoch
+   */
+  public Verdict verdict(Move move, long nowMillis) {
+    VersionKey from = new VersionKey(move.service(), move.from());
+    VersionKey to = new VersionKey(move.service(), move.to());
+    VersionComparison comparison =
+        comparisons.computeIfAbsent(
+            new MoveKey(from, to, move.startMillis()), key -> new VersionComparison());
+    long end = bucketStart(nowMillis);
+    strata(from, to, comparison.comparedMillis(), end).forEach(comparison::add);
+    return comparison.verdict(move.sharePermille(), end, nowMillis);
   }
 
   /**
@@ -72,44 +88,47 @@
    *
    * @param from the predecessor
    * @param to the version that is judged
+   * @param sinceMillis only buckets that began then or later
    * @param beforeMillis only whole buckets that ended by then
    */
-  public List<Stratum> strata(VersionKey from, VersionKey to, long beforeMillis) {
-    Map<Place, TreeMap<Long, Counts>> olds = series.getOrDefault(from, Map.of());
-    Map<Place, TreeMap<Long, Counts>> freshes = series.getOrDefault(to, Map.of());
+  public List<Stratum> strata(VersionKey from, VersionKey to, long sinceMillis, long beforeMillis) {
     long end = bucketStart(beforeMillis);
+    SortedMap<Long, SortedMap<Place, Counts>> olds = part(from, sinceMillis, end);
+    SortedMap<Long, SortedMap<Place, Counts>> freshes = part(to, sinceMillis, end);
+    TreeSet<Long> times = new TreeSet<>(olds.keySet());
+    times.addAll(freshes.keySet());
     List<Stratum> strata = new ArrayList<>();
-    freshes.forEach(
-        (place, fresh) -> {
-          TreeMap<Long, Counts> old = olds.getOrDefault(place, new TreeMap<>());
-          fresh.headMap(end).forEach((at, counts) -> strata.add(place.at(at, old.get(at), counts)));
-          old.headMap(end).forEach((at, counts) -> addOldOnly(strata, place, at, counts, fresh));
-        });
-    olds.forEach(
-        (place, old) -> {
-          if (!freshes.containsKey(place)) {
-            old.headMap(end).forEach((at, counts) -> strata.add(place.at(at, counts, null)));
-          }
-        });
-    strata.sort(ORDER);
+    for (Long at : times) {
+      SortedMap<Place, Counts> old = olds.getOrDefault(at, new TreeMap<>());
+      SortedMap<Place, Counts> fresh = freshes.getOrDefault(at, new TreeMap<>());
+      TreeSet<Place> places = new TreeSet<>(old.keySet());
+      places.addAll(fresh.keySet());
+      for (Place place : places) {
+        strata.add(
+            new Stratum(
+                at,
+                place.route(),
+                place.domain(),
+                old.getOrDefault(place, Counts.NONE),
+                fresh.getOrDefault(place, Counts.NONE)));
+      }
+    }
     return strata;
   }
 
-  private static void addOldOnly(
-      List<Stratum> strata, Place place, long at, Counts old, TreeMap<Long, Counts> fresh) {
-    if (!fresh.containsKey(at)) {
-      strata.add(place.at(at, old, null));
-    }
+  private SortedMap<Long, SortedMap<Place, Counts>> part(VersionKey key, long since, long end) {
+    TreeMap<Long, SortedMap<Place, Counts>> byTime = buckets.get(key);
+    return byTime == null || since >= end ? new TreeMap<>() : byTime.subMap(since, end);
   }
 
   private void add(RouteEvidence evidence, long nowMillis) {
     Counts counts =
         new Counts(
             evidence.calls(), evidence.failures(), evidence.slowCalls(), evidence.totalMillis());
-    series
-        .computeIfAbsent(evidence.key(), key -> new HashMap<>())
-        .computeIfAbsent(new Place(evidence.route(), evidence.domain()), key -> new TreeMap<>())
-        .merge(bucketStart(nowMillis), counts, Counts::plus);
+    buckets
+        .computeIfAbsent(evidence.key(), key -> new TreeMap<>())
+        .computeIfAbsent(bucketStart(nowMillis), key -> new TreeMap<>())
+        .merge(new Place(evidence.route(), evidence.domain()), counts, Counts::plus);
   }
 
   private static long bucketStart(long nowMillis) {
@@ -117,16 +136,7 @@
     return Math.floorDiv(nowMillis + half, BUCKET_MILLIS) * BUCKET_MILLIS - half;
   }
 
-  private record Place(RouteName route, FailureDomain domain) {
-    Stratum at(long atMillis, Counts old, Counts fresh) {
-      return new Stratum(
-          atMillis,
-          route,
-          domain,
-          old == null ? Counts.NONE : old,
-          fresh == null ? Counts.NONE : fresh);
-    }
-  }
+  private record MoveKey(VersionKey from, VersionKey to, long startMillis) {}
 
   /** Which of a sender's reports were seen: the highest number and the 63 below it. */
   private static final class SeenSequences {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
@@ -1,9 +1,6 @@
 package io.hemlockbend.core.evidence;
 
-import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.RouteName;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -17,130 +14,128 @@
  * small fault on many are both seen.
  */
 public final class VersionComparison {
-  /** The logarithm of the evidence from which on a version is bad. */
-  public static final double BAD_LOG = 23;
+  /**
+   * The score from which on a version is bad; {@code ln c} for a {@code c} of a million, so that
+   * one test condemns one like version in 250,000 moves at most.
+   */
+  public static final double BAD_SCORE = 13.8;
 
-  /** The logarithm of the evidence from which on no further step opens. */
-  public static final double SUSPICIOUS_LOG = 4.6;
+  /** The score from which on no further step opens. */
+  public static final double SUSPICIOUS_SCORE = 3;
 
   /** How many calls a version needs to count as good. */
   public static final long GOOD_CALLS = 50;
 
+  /** How long it takes until half of the evidence is forgotten. */
+  public static final long HALF_LIFE_MILLIS = 600_000;
+
   private static final long GOOD_ROUTE_CALLS = 10;
   private static final double ROUTE_SHARE = 0.05;
-  private static final double CAP_LOG = 8;
-  private static final double FAILING_CAP_LOG = 12;
-  private static final double FAILING_SHARE = 0.9;
-  private static final double HEALTHY_SHARE = 0.1;
-  private static final long FAILING_CALLS = 8;
 
-  private VersionComparison() {}
+  private final StratumJoiner joiner = new StratumJoiner();
+  private final Map<RouteName, RouteTests> routes = new TreeMap<>();
+  private final RouteTests all = new RouteTests();
+  private final Map<RouteName, Tally> tallies = new TreeMap<>();
+  private Tally total = new Tally(0, 0);
+  private int sharePermille;
+  private long comparedMillis = Long.MIN_VALUE;
+  private long askedMillis;
+
+  /**
+   * Adds a stratum.
+   *
+   * @param stratum calls of both versions; later than those added before
+   */
+  public void add(Stratum stratum) {
+    Tally tally = new Tally(stratum.old().calls(), stratum.fresh().calls());
+    tallies.merge(stratum.route(), tally, Tally::plus);
+    total = total.plus(tally);
+    joiner.add(stratum).forEach(this::test);
+  }
 
   /**
-   * Judges a version.
+   * Returns the verdict on what was added.
    *
-   * @param strata the calls of both versions in the order of time
-   * @param sinceMillis since when the version has had its present share; only later calls count
-   *     towards good, all count towards bad
+   * @param permille the version's present share; when it changed, calls count anew towards good
+   * @param endMillis up to when strata were added
+   * @param nowMillis the time in milliseconds since the epoch
    */
-  public static Verdict judge(List<Stratum> strata, long sinceMillis) {
-    Map<RouteName, RouteTests> routes = new TreeMap<>();
-    RouteTests all = new RouteTests();
-    for (Stratum stratum : strata) {
-      RouteTests route = routes.computeIfAbsent(stratum.route(), name -> new RouteTests());
-      route.add(stratum, sinceMillis);
-      route.addTimes(stratum);
-      all.add(stratum, sinceMillis);
+  public Verdict verdict(int permille, long endMillis, long nowMillis) {
+    if (permille != sharePermille) {
+      sharePermille = permille;
+      tallies.clear();
+      total = new Tally(0, 0);
     }
+    joiner.overdue(endMillis).forEach(this::test);
+    fade(endMillis);
+    askedMillis = nowMillis;
+    return verdict();
+  }
+
+  /** Returns up to when strata were added, milliseconds since the epoch. */
+  long comparedMillis() {
+    return comparedMillis;
+  }
+
+  /** Returns when the last verdict was asked for, milliseconds since the epoch. */
+  long askedMillis() {
+    return askedMillis;
+  }
+
+  private void test(Stratum stratum) {
+    routes.computeIfAbsent(stratum.route(), name -> new RouteTests()).add(stratum);
+    all.add(stratum);
+  }
+
+  private void fade(long endMillis) {
+    if (comparedMillis != Long.MIN_VALUE) {
+      double kept = Math.pow(0.5, (double) (endMillis - comparedMillis) / HALF_LIFE_MILLIS);
+      routes.values().forEach(route -> route.fade(kept));
+      all.fade(kept);
+    }
+    comparedMillis = endMillis;
+  }
+
+  private Verdict verdict() {
     double worst = 0;
     String where = "";
     for (Map.Entry<RouteName, RouteTests> entry : routes.entrySet()) {
-      if (entry.getValue().logEvidence() > worst) {
-        worst = entry.getValue().logEvidence();
+      if (entry.getValue().score() > worst) {
+        worst = entry.getValue().score();
         where = "route " + entry.getKey() + ": " + entry.getValue().worst();
       }
     }
-    if (worst < BAD_LOG && all.logEvidence() > worst) {
-      worst = all.logEvidence();
+    if (worst < BAD_SCORE && all.score() > worst) {
+      worst = all.score();
       where = "all routes: " + all.worst();
     }
-    if (worst >= BAD_LOG) {
+    if (worst >= BAD_SCORE) {
       return new Verdict.Bad(where);
     }
-    if (worst >= SUSPICIOUS_LOG) {
+    if (worst >= SUSPICIOUS_SCORE) {
       return new Verdict.NotEnough(true, where);
     }
-    return missing(routes, all)
+    return missing()
         .<Verdict>map(reason -> new Verdict.NotEnough(false, reason))
-        .orElseGet(() -> new Verdict.Good(all.fresh.calls() + " calls, none against it"));
+        .orElseGet(() -> new Verdict.Good(total.fresh + " calls, none against it"));
   }
 
-  private static Optional<String> missing(Map<RouteName, RouteTests> routes, RouteTests all) {
-    if (all.fresh.calls() < GOOD_CALLS || all.old.calls() < GOOD_CALLS) {
-      return Optional.of("only " + all.fresh.calls() + " calls to compare");
+  private Optional<String> missing() {
+    if (total.fresh < GOOD_CALLS) {
+      return Optional.of("only " + total.fresh + " calls to judge");
     }
-    for (Map.Entry<RouteName, RouteTests> entry : routes.entrySet()) {
-      RouteTests tests = entry.getValue();
-      boolean counts = tests.old.calls() >= ROUTE_SHARE * all.old.calls();
-      if (counts && tests.fresh.calls() < GOOD_ROUTE_CALLS) {
-        return Optional.of("only " + tests.fresh.calls() + " calls on route " + entry.getKey());
+    for (Map.Entry<RouteName, Tally> entry : tallies.entrySet()) {
+      Tally tally = entry.getValue();
+      if (tally.old >= ROUTE_SHARE * total.old && tally.fresh < GOOD_ROUTE_CALLS) {
+        return Optional.of("only " + tally.fresh + " calls on route " + entry.getKey());
       }
     }
     return Optional.empty();
   }
 
-  /** The tests of one route, or of all together; times are compared only within a route. */
-  private static final class RouteTests {
-    private final ExcessTest failing = new ExcessTest();
-    private final ExcessTest slow = new ExcessTest();
-    private final SlowdownTest slowdown = new SlowdownTest();
-    private final Map<FailureDomain, Counts> oldOpen = new HashMap<>();
-    private final Map<FailureDomain, Counts> freshOpen = new HashMap<>();
-    private Counts old = Counts.NONE;
-    private Counts fresh = Counts.NONE;
-
-    void add(Stratum stratum, long sinceMillis) {
-      Counts before = stratum.old();
-      Counts after = stratum.fresh();
-      double cap = almostAllFail(before, after) ? FAILING_CAP_LOG : CAP_LOG;
-      failing.add(before.calls(), before.failures(), after.calls(), after.failures(), cap);
-      slow.add(before.calls(), before.slowCalls(), after.calls(), after.slowCalls(), CAP_LOG);
-      if (stratum.atMillis() >= sinceMillis) {
-        old = old.plus(before);
-        fresh = fresh.plus(after);
-      }
-    }
-
-    void addTimes(Stratum stratum) {
-      Counts before = oldOpen.merge(stratum.domain(), stratum.old(), Counts::plus);
-      Counts after = freshOpen.merge(stratum.domain(), stratum.fresh(), Counts::plus);
-      long fewest = Math.min(before.calls(), after.calls());
-      if (fewest >= SlowdownTest.MIN_CALLS) {
-        slowdown.add(before, after);
-        oldOpen.remove(stratum.domain());
-        freshOpen.remove(stratum.domain());
-      }
-    }
-
-    private static boolean almostAllFail(Counts old, Counts fresh) {
-      return old.calls() >= FAILING_CALLS
-          && fresh.calls() >= FAILING_CALLS
-          && old.failureShare() <= HEALTHY_SHARE
-          && fresh.failureShare() >= FAILING_SHARE;
-    }
-
-    double logEvidence() {
-      return Math.max(failing.logEvidence(), Math.max(slow.logEvidence(), slowdown.logEvidence()));
-    }
-
-    String worst() {
-      double most = logEvidence();
-      if (failing.logEvidence() == most) {
-        return "fails more often than its predecessor";
-      }
-      return slow.logEvidence() == most
-          ? "has more slow calls than its predecessor"
-          : "takes longer than its predecessor";
+  private record Tally(long old, long fresh) {
+    Tally plus(Tally other) {
+      return new Tally(old + other.old, fresh + other.fresh);
     }
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/lease/LeaseKeeper.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/lease/LeaseKeeper.java
@@ -29,10 +29,10 @@
  */
 public final class LeaseKeeper {
   /** How long a lease lasts without renewal. */
-  public static final long DURATION_MILLIS = 10_000;
+  public static final long DURATION_MILLIS = 15_000;
 
   /** By how much longer a candidate waits than the holder acts. */
-  public static final long GUARD_MILLIS = 1_000;
+  public static final long GUARD_MILLIS = 1_500;
 
   /** How often the holder renews. */
   public static final long RENEW_MILLIS = 4_000;
@@ -41,7 +41,7 @@
   public static final long READ_MILLIS = 2_000;
 
   /** After which time a request counts as lost. */
-  public static final long REQUEST_TIMEOUT_MILLIS = 2_000;
+  public static final long REQUEST_TIMEOUT_MILLIS = 4_000;
 
   /** The longest pause after failed requests. */
   public static final long MAX_BACKOFF_MILLIS = 8_000;
@@ -95,6 +95,16 @@
         .filter(lease -> !changing && nowMillis < lease.validUntilMillis());
   }
 
+  /**
+   * Returns whether less than half of the lease is left. The shell asks for no renewal while a
+   * commit under the lease is under way, which a renewal would make fail, unless this holds.
+   *
+   * @param nowMillis the time on this node's clock
+   */
+  public boolean urgent(long nowMillis) {
+    return held == null || held.validUntilMillis() - nowMillis < DURATION_MILLIS / 2;
+  }
+
   /**
    * Returns the next request for the table, or empty when there is nothing to ask now.
    *
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveController.java
@@ -6,8 +6,8 @@
 import io.hemlockbend.core.brake.BrakeSet;
 import io.hemlockbend.core.evidence.EvidenceInterest;
 import io.hemlockbend.core.evidence.EvidenceWindow;
+import io.hemlockbend.core.evidence.Stratum;
 import io.hemlockbend.core.evidence.Verdict;
-import io.hemlockbend.core.evidence.VersionComparison;
 import io.hemlockbend.core.message.PeerMessage.Brake;
 import io.hemlockbend.core.model.Change;
 import io.hemlockbend.core.model.Configuration;
@@ -111,7 +111,7 @@
       return takeBack(to, "brake: " + brake.reason());
     }
     long sinceMillis = shares.get(move.service()).sinceMillis;
-    Verdict verdict = VersionComparison.judge(evidence.strata(from, to, nowMillis), sinceMillis);
+    Verdict verdict = evidence.verdict(move, nowMillis);
     if (verdict instanceof Verdict.Bad bad) {
       return takeBack(to, bad.reason());
     }
@@ -157,8 +157,11 @@
     if (brake != null) {
       return Optional.of(returnTo(soak, "brake: " + brake.reason()));
     }
-    return SoakCheck.judge(soak, evidence.strata(soak.from(), soak.to(), nowMillis), nowMillis)
-        .map(reason -> returnTo(soak, reason));
+    return SoakCheck.judge(soak, soakStrata(soak, nowMillis)).map(reason -> returnTo(soak, reason));
+  }
+
+  private List<Stratum> soakStrata(Soak soak, long nowMillis) {
+    return evidence.strata(soak.from(), soak.to(), nowMillis - SoakCheck.LOOK_MILLIS, nowMillis);
   }
 
   private void watch(Move move, long nowMillis) {
@@ -170,7 +173,7 @@
             from,
             to,
             nowMillis + EvidenceInterest.SOAK_MILLIS,
-            evidence.strata(from, to, nowMillis)));
+            evidence.strata(from, to, nowMillis - EvidenceWindow.KEPT_MILLIS, nowMillis)));
   }
 
   private static boolean finished(Move move, Configuration next) {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
@@ -8,7 +8,7 @@
  */
 public final class MoveSchedule {
   /** The share that the last step but one gives, and that keeps the predecessor comparable. */
-  public static final int NEARLY_ALL_PERMILLE = 950;
+  public static final int NEARLY_ALL_PERMILLE = 800;
 
   /** How long a step is in force at least before the next one opens. */
   public static final long SETTLE_MILLIS = 5_000;
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/SoakCheck.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/SoakCheck.java
@@ -38,13 +38,11 @@
    * Returns what speaks against the version.
    *
    * @param soak the finished move
-   * @param strata the calls since
-   * @param nowMillis the time in milliseconds since the epoch
+   * @param strata the calls of the last {@link #LOOK_MILLIS}
    */
-  static Optional<String> judge(Soak soak, List<Stratum> strata, long nowMillis) {
+  static Optional<String> judge(Soak soak, List<Stratum> strata) {
     Map<RouteName, Map<FailureDomain, Counts>> before = sums(soak.baseline());
-    Map<RouteName, Map<FailureDomain, Counts>> after =
-        sums(strata.stream().filter(s -> s.atMillis() >= nowMillis - LOOK_MILLIS).toList());
+    Map<RouteName, Map<FailureDomain, Counts>> after = sums(strata);
     double beforeSeconds = seconds(soak.baseline());
     for (Map.Entry<RouteName, Map<FailureDomain, Counts>> route : after.entrySet()) {
       Map<FailureDomain, Counts> yardsticks = before.getOrDefault(route.getKey(), Map.of());
