Prove requests over real sockets against stand-ins

Resend through another node, platform away, lost claim answers, truncated and large answers, withdrawal and restore, and a restarted upstream, on an embedded mesh of three nodes.

--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/EmbeddedMesh.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/EmbeddedMesh.java
@@ -1,8 +1,10 @@
 package io.hemlockbend.testkit.mesh;
 
+import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.testkit.platform.PlatformServer;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -64,6 +66,21 @@
         .toList();
   }
 
+  /** Returns the newest configuration that any node has in force. */
+  public ConfigurationVersion newestInForce() {
+    return members.stream()
+        .map(member -> member.node().snapshot().inForce().version())
+        .max(Comparator.naturalOrder())
+        .orElse(ConfigurationVersion.NONE);
+  }
+
+  /** Returns whether every node has this version or a newer one in force. */
+  public boolean inForceEverywhere(ConfigurationVersion version) {
+    return members.stream()
+        .noneMatch(
+            member -> version.newerThan(member.node().snapshot().inForce().version()));
+  }
+
   /** Returns whether every node serves and knows every upstream. */
   public boolean settled() {
     return members.stream().allMatch(member -> member.node().ready() && knowsAll(member));
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/EmbeddedMeshTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/EmbeddedMeshTest.java
@@ -3,15 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import io.hemlockbend.codec.JsonCodec;
-import io.hemlockbend.codec.JsonDigester;
-import io.hemlockbend.core.acceptance.Author;
-import io.hemlockbend.core.acceptance.ChangeSet;
-import io.hemlockbend.core.acceptance.CommitOrder;
-import io.hemlockbend.core.acceptance.CommitOutcome;
-import io.hemlockbend.core.acceptance.CommitPlanner;
-import io.hemlockbend.core.api.CommitId;
-import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.api.RouteName;
@@ -19,22 +10,21 @@
 import io.hemlockbend.core.api.TeamName;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
 import io.hemlockbend.core.model.Change;
 import io.hemlockbend.core.model.Route;
-import io.hemlockbend.core.validation.ConfigurationChecker;
-import io.hemlockbend.node.commit.CommitRunner;
-import io.hemlockbend.platform.HttpObjectStore;
-import io.hemlockbend.platform.HttpTableService;
-import io.hemlockbend.platform.PlatformSettings;
+import io.hemlockbend.testkit.platform.PlatformFaults;
+import io.hemlockbend.testkit.upstream.UpstreamFaults;
+import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
+import java.util.UUID;
 import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
@@ -46,9 +36,12 @@
   private static final TeamName TEAM = new TeamName("tableaux");
   private static final VersionName V1 = new VersionName("v1");
   private static final VersionName V2 = new VersionName("v2");
+  private static final FailureDomain SFAX = new FailureDomain("sfax");
+  private static final String OUTCOME = "Hemlockbend-Outcome";
 
   private final HttpClient caller = HttpClient.newHttpClient();
   private EmbeddedMesh mesh;
+  private MeshOperator operator;
 
   @BeforeAll
   void startMesh() {
@@ -61,24 +54,30 @@
             "",
             1);
     await().atMost(PATIENCE).until(mesh::settled);
+    operator = new MeshOperator(mesh);
     commit(
-        0,
         new Change.AddVersion(new VersionKey(QUOTES, V1), TEAM),
         new Change.AddVersion(new VersionKey(QUOTES, V2), TEAM),
         new Change.PutRoute(
             new Route(new RouteName("quotes"), "/quotes", QUOTES, Priority.NORMAL)));
-    await().atMost(PATIENCE).until(() -> inForceEverywhere(1));
+  }
+
+  @AfterEach
+  void endFaults() {
+    mesh.platform().faults(PlatformFaults.NONE);
+    mesh.members().forEach(member -> member.upstream().faults(UpstreamFaults.NONE));
   }
 
   @AfterAll
   void stopMesh() {
+    operator.close();
     mesh.close();
   }
 
   @Test
   void everyEntryServesTheVersionInForce() throws Exception {
     for (URI entry : mesh.entries()) {
-      HttpResponse<String> answer = send(entry, "/quotes/7");
+      HttpResponse<String> answer = get(entry, "/quotes/7");
       assertThat(answer.statusCode()).isEqualTo(200);
       assertThat(answer.body()).contains("\"version\":\"v1\"");
     }
@@ -86,47 +85,104 @@
 
   @Test
   void unknownPathIsRefusedAsNotRun() throws Exception {
-    HttpResponse<String> answer = send(mesh.entry(0), "/nowhere");
+    HttpResponse<String> answer = get(mesh.entry(0), "/nowhere");
     assertThat(answer.statusCode()).isEqualTo(404);
-    assertThat(answer.headers().firstValue("Hemlockbend-Outcome")).contains("not-run");
-  }
-
-  private void commit(long base, Change... changes) {
-    org.eclipse.jetty.client.HttpClient client = new org.eclipse.jetty.client.HttpClient();
-    try {
-      client.start();
-      PlatformSettings settings = new PlatformSettings(mesh.platform().uri(), 2_000);
-      CommitRunner runner =
-          new CommitRunner(
-              new CommitPlanner(
-                  ConfigurationChecker.forAcceptance(), new JsonDigester(new JsonCodec())),
-              new HttpTableService(client, settings),
-              new HttpObjectStore(client, settings),
-              (mark, configuration, accepted) -> {});
-      CommitOrder order =
-          new CommitOrder(
-              new CommitId("commit-" + base),
-              new Author("test", TEAM, true),
-              System.currentTimeMillis(),
-              Set.of(new FailureDomain("tunis"), new FailureDomain("sfax")),
-              List.of());
-      ChangeSet set = ChangeSet.direct(new ConfigurationVersion(base), List.of(changes));
-      assertThat(runner.run(order, Optional.of(set), false).join())
-          .isInstanceOf(CommitOutcome.Accepted.class);
-    } catch (Exception e) {
-      throw new IllegalStateException(e);
-    } finally {
-      org.eclipse.jetty.util.component.LifeCycle.stop(client);
+    assertThat(answer.headers().firstValue(OUTCOME)).contains("not-run");
+  }
+
+  @Test
+  void resendThroughAnotherNodeRunsOnce() throws Exception {
+    String key = UUID.randomUUID().toString();
+    HttpResponse<String> first = post(mesh.entry(0), key);
+    HttpResponse<String> second = post(mesh.entry(1), key);
+    assertThat(first.statusCode()).isEqualTo(200);
+    assertThat(second.statusCode()).isIn(200, 409);
+    assertThat(runs(key)).isEqualTo(1);
+  }
+
+  @Test
+  void platformAwayRefusesKeyedRequestsAsNotRunAndServesTheRest() throws Exception {
+    mesh.platform().faults(new PlatformFaults(true, 0, 0));
+    String key = UUID.randomUUID().toString();
+    HttpResponse<String> unsafe = post(mesh.entry(0), key);
+    assertThat(unsafe.statusCode()).isEqualTo(503);
+    assertThat(unsafe.headers().firstValue(OUTCOME)).contains("not-run");
+    assertThat(runs(key)).isZero();
+    assertThat(get(mesh.entry(0), "/quotes/7").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void lostClaimAnswersNeverRunTwice() throws Exception {
+    mesh.platform().faults(new PlatformFaults(false, 0, 1000));
+    String key = UUID.randomUUID().toString();
+    for (URI entry : mesh.entries()) {
+      post(entry, key);
     }
+    assertThat(runs(key)).isLessThanOrEqualTo(1);
   }
 
-  private boolean inForceEverywhere(long version) {
-    return mesh.members().stream()
-        .allMatch(m -> m.node().snapshot().inForce().version().value() == version);
+  @Test
+  void truncatedAnswerIsNeverPassedOnAsWhole() throws Exception {
+    mesh.members().forEach(m -> m.upstream().faults(UpstreamFaults.truncating()));
+    HttpResponse<String> answer = get(mesh.entry(0), "/quotes/7");
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(answer.headers().firstValue(OUTCOME)).contains("may-have-run");
+  }
+
+  @Test
+  void largeAnswerArrivesWhole() throws Exception {
+    HttpResponse<byte[]> answer =
+        caller.send(
+            HttpRequest.newBuilder(mesh.entry(2).resolve("/quotes/photo?bytes=700000&seed=3"))
+                .build(),
+            HttpResponse.BodyHandlers.ofByteArray());
+    assertThat(answer.statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void withdrawnDomainGetsNoNewWorkAndComesBack() throws Exception {
+    commit(new Change.Withdraw(SFAX, System.currentTimeMillis()));
+    for (int i = 0; i < 20; i++) {
+      HttpResponse<String> answer = get(mesh.entry(1), "/quotes/" + i);
+      assertThat(answer.statusCode()).isEqualTo(200);
+      assertThat(answer.body()).contains("\"upstream\":\"q1\"");
+    }
+    commit(new Change.Restore(SFAX, System.currentTimeMillis(), 1));
+    await()
+        .atMost(PATIENCE)
+        .until(() -> get(mesh.entry(1), "/quotes/9").body().contains("\"upstream\":\"q2\""));
+  }
+
+  @Test
+  void restartedUpstreamIsUsedAgain() {
+    mesh.members().getFirst().restartUpstream();
+    await()
+        .atMost(PATIENCE)
+        .until(() -> get(mesh.entry(0), "/quotes/9").body().contains("\"upstream\":\"q1\""));
+  }
+
+  private void commit(Change... changes) {
+    VersionMark mark = operator.commit(changes);
+    await().atMost(PATIENCE).until(() -> mesh.inForceEverywhere(mark.version()));
+  }
+
+  private int runs(String key) {
+    return mesh.members().stream().mapToInt(member -> member.ledger().count(key)).sum();
+  }
+
+  private HttpResponse<String> get(URI entry, String path) throws IOException, InterruptedException {
+    return caller.send(
+        HttpRequest.newBuilder(entry.resolve(path)).build(),
+        HttpResponse.BodyHandlers.ofString());
   }
 
-  private HttpResponse<String> send(URI entry, String path) throws Exception {
+  private HttpResponse<String> post(URI entry, String key)
+      throws IOException, InterruptedException {
     return caller.send(
-        HttpRequest.newBuilder(entry.resolve(path)).build(), HttpResponse.BodyHandlers.ofString());
+        HttpRequest.newBuilder(entry.resolve("/quotes/accept"))
+            .header("Idempotency-Key", key)
+            .POST(HttpRequest.BodyPublishers.ofString("accept"))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
   }
 }
