--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/http/Headers.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/http/Headers.java
@@ -8,12 +8,15 @@
   /** How long the caller still waits, milliseconds. */
   public static final String DEADLINE_MILLIS = "Hemlockbend-Deadline-Millis";
 
-  /** How urgent the request is: the name of a priority. */
-  public static final String PRIORITY = "Hemlockbend-Priority";
-
   /** What the mesh says of a call that it refused. */
   public static final String OUTCOME = "Hemlockbend-Outcome";
 
+  /** The version that the mesh sent the request to. */
+  public static final String VERSION = "Hemlockbend-Version";
+
+  /** The upstream that the mesh sent the request to. */
+  public static final String UPSTREAM = "Hemlockbend-Upstream";
+
   /** Marks a request that may not run twice, with the same key on each resend. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
