--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
@@ -69,7 +69,7 @@
     joiner.overdue(endMillis).forEach(this::test);
     fade(endMillis);
     askedMillis = nowMillis;
-    return verdict();
+    return conclude();
   }
 
   /** Returns up to when strata were added, milliseconds since the epoch. */
@@ -96,7 +96,7 @@
     comparedMillis = endMillis;
   }
 
-  private Verdict verdict() {
+  private Verdict conclude() {
     double worst = 0;
     String where = "";
     for (Map.Entry<RouteName, RouteTests> entry : routes.entrySet()) {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
@@ -7,14 +7,17 @@
  * so that there is time left when the lease holder dies or the platform is slow.
  */
 public final class MoveSchedule {
-  /** The share that the last step but one gives, and that keeps the predecessor comparable. */
-  public static final int NEARLY_ALL_PERMILLE = 800;
+  /**
+   * The share of the last step but one, held longest: both versions have calls enough to compare,
+   * so that a version that turns bad late is found fast.
+   */
+  public static final int HELD_PERMILLE = 600;
 
   /** How long a step is in force at least before the next one opens. */
   public static final long SETTLE_MILLIS = 5_000;
 
-  private static final int[] SHARES_PERMILLE = {10, 50, 200, 500, NEARLY_ALL_PERMILLE, 1000};
-  private static final int[] DUE_PERMILLE = {0, 150, 300, 450, 600, 850};
+  private static final int[] SHARES_PERMILLE = {10, 30, 80, 180, 350, HELD_PERMILLE, 1000};
+  private static final int[] DUE_PERMILLE = {0, 40, 100, 180, 270, 360, 700};
   private static final int PERMILLE = 1000;
 
   private MoveSchedule() {}
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/SoakCheck.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/SoakCheck.java
@@ -15,21 +15,21 @@
 
 /**
  * Judges a version whose predecessor has no traffic left to compare with. The yardstick is what
- * both versions did in the last minutes of the move, so the rule is coarse: a route is bad when,
- * over the last {@link #LOOK_MILLIS}, it is bad in at least two failure domains and in most of
- * those that have calls, while no domain gets more calls than it did at the yardstick's time. A
- * sick domain or an overload does not fulfil it.
+ * both versions did in the last minutes of the move, so the rule is coarse and looks at failures
+ * only: a route is bad when, over the last {@link #LOOK_MILLIS}, it fails in at least two failure
+ * domains and in most of those that have calls, while no domain gets many more calls than at the
+ * yardstick's time. A sick domain does not fulfil it, and an overload shows in refusals and
+ * slowness, which do not count here: without a predecessor beside it they cannot be told from a
+ * slow version.
  */
 final class SoakCheck {
   /** The time that is looked at. */
-  static final long LOOK_MILLIS = 5_000;
+  static final long LOOK_MILLIS = 4_000;
 
-  private static final long MIN_CALLS = 20;
+  private static final long MIN_CALLS = 40;
   private static final int MIN_DOMAINS = 2;
-  private static final double FAILING_SHARE = 0.3;
+  private static final double FAILING_SHARE = 0.2;
   private static final double FAILING_RATIO = 10;
-  private static final double SLOW_RATIO = 4;
-  private static final double SLOW_FLOOR_MILLIS = 5;
   private static final double OVERLOAD_RATIO = 1.3;
 
   private SoakCheck() {}
@@ -46,17 +46,17 @@
     double beforeSeconds = seconds(soak.baseline());
     for (Map.Entry<RouteName, Map<FailureDomain, Counts>> route : after.entrySet()) {
       Map<FailureDomain, Counts> yardsticks = before.getOrDefault(route.getKey(), Map.of());
-      if (bad(route.getValue(), yardsticks, beforeSeconds)) {
-        return Optional.of("route " + route.getKey() + ": bad in most domains after the move");
+      if (failing(route.getValue(), yardsticks, beforeSeconds)) {
+        return Optional.of("route " + route.getKey() + ": fails in most domains after the move");
       }
     }
     return Optional.empty();
   }
 
-  private static boolean bad(
+  private static boolean failing(
       Map<FailureDomain, Counts> now, Map<FailureDomain, Counts> yardsticks, double seconds) {
     int judged = 0;
-    int bad = 0;
+    int failing = 0;
     for (Map.Entry<FailureDomain, Counts> entry : now.entrySet()) {
       Counts counts = entry.getValue();
       Counts yardstick = yardsticks.getOrDefault(entry.getKey(), Counts.NONE);
@@ -68,17 +68,14 @@
         return false;
       }
       judged++;
-      bad += bad(counts, yardstick) ? 1 : 0;
+      failing += failing(counts, yardstick) ? 1 : 0;
     }
-    return bad >= MIN_DOMAINS && 2 * bad > judged;
+    return failing >= MIN_DOMAINS && 2 * failing > judged;
   }
 
-  private static boolean bad(Counts now, Counts yardstick) {
-    boolean failing =
-        now.failureShare() >= FAILING_SHARE
-            && now.failureShare() >= FAILING_RATIO * yardstick.failureShare();
-    boolean slow = now.meanMillis() > SLOW_RATIO * yardstick.meanMillis() + SLOW_FLOOR_MILLIS;
-    return failing || slow;
+  private static boolean failing(Counts now, Counts yardstick) {
+    return now.failureShare() >= FAILING_SHARE
+        && now.failureShare() >= FAILING_RATIO * yardstick.failureShare();
   }
 
   private static Map<RouteName, Map<FailureDomain, Counts>> sums(Collection<Stratum> strata) {
