Keep asking when answers of the platform or peers are lost

A new process sent its first pull before it knew the peer's address; it now waits for it. Claims of a join answer are no news.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Acquisition.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Acquisition.java
@@ -3,11 +3,10 @@
 import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.message.PeerMessage.VersionMark;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -30,8 +29,9 @@
   private static final int HOLDERS_KEPT = 8;
   private static final int PULLS_BEFORE_PLATFORM = 3;
   private static final long HISTORY_STEPS_MAX = 32;
-  private static final long PLATFORM_BACKOFF_MILLIS = 1_000;
-  private static final long PLATFORM_BACKOFF_MAX_MILLIS = 16_000;
+  private static final long PLATFORM_BACKOFF_MILLIS = 500;
+  private static final long PLATFORM_BACKOFF_MAX_MILLIS = 1_000;
+  private static final long NEW_PROCESS_BACKOFF_MAX_MILLIS = 8_000;
 
   private final long pullTimeoutMillis;
   private final RandomGenerator random;
@@ -71,14 +71,20 @@
     }
   }
 
-  /** Returns where to ask now, when something newer than what is held is wanted. */
-  Optional<Source> next(VersionMark held, long nowMillis) {
+  /**
+   * Returns where to ask now, when something newer than what is held is wanted.
+   *
+   * @param held what is held
+   * @param reachable whether the address of a peer is known
+   * @param nowMillis the time
+   */
+  Optional<Source> next(VersionMark held, Predicate<NodeId> reachable, long nowMillis) {
     if (!wanted.newerThan(held) || nowMillis < pullUntilMillis) {
       return Optional.empty();
     }
     boolean platformDue = nowMillis >= platformUntilMillis;
     boolean askPeer = pulls < PULLS_BEFORE_PLATFORM || !platformDue;
-    Optional<NodeId> holder = askPeer ? takeHolder(held) : Optional.empty();
+    Optional<NodeId> holder = askPeer ? takeHolder(held, reachable) : Optional.empty();
     if (holder.isPresent()) {
       pulls++;
       pullUntilMillis = nowMillis + pullTimeoutMillis;
@@ -89,7 +95,9 @@
     }
     pulls = 0;
     platformUntilMillis = nowMillis + backoffMillis / 2 + random.nextLong(backoffMillis);
-    backoffMillis = Math.min(2 * backoffMillis, PLATFORM_BACKOFF_MAX_MILLIS);
+    boolean newProcess = held.version().equals(ConfigurationVersion.NONE);
+    long maxMillis = newProcess ? NEW_PROCESS_BACKOFF_MAX_MILLIS : PLATFORM_BACKOFF_MAX_MILLIS;
+    backoffMillis = Math.min(2 * backoffMillis, maxMillis);
     return Optional.of(platform(held));
   }
 
@@ -102,18 +110,14 @@
     return new Source.History(held.version(), wanted.version());
   }
 
-  private Optional<NodeId> takeHolder(VersionMark held) {
+  private Optional<NodeId> takeHolder(VersionMark held, Predicate<NodeId> reachable) {
     holders.values().removeIf(mark -> !mark.newerThan(held));
-    if (holders.isEmpty()) {
+    List<NodeId> known = holders.keySet().stream().filter(reachable).toList();
+    if (known.isEmpty()) {
       return Optional.empty();
     }
-    List<NodeId> newest = new ArrayList<>();
-    for (Map.Entry<NodeId, VersionMark> entry : holders.entrySet()) {
-      if (!wanted.newerThan(entry.getValue())) {
-        newest.add(entry.getKey());
-      }
-    }
-    List<NodeId> choice = newest.isEmpty() ? new ArrayList<>(holders.keySet()) : newest;
+    List<NodeId> newest = known.stream().filter(id -> !wanted.newerThan(holders.get(id))).toList();
+    List<NodeId> choice = newest.isEmpty() ? known : newest;
     NodeId chosen = choice.get(random.nextInt(choice.size()));
     holders.remove(chosen);
     return Optional.of(chosen);
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Distributor.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Distributor.java
@@ -89,6 +89,9 @@
   /** Does what is due. */
   public List<DistributionEffect> tick(long nowMillis) {
     gate.started(nowMillis);
+    if (reads.overdue(nowMillis)) {
+      gate.tableUnavailable();
+    }
     if (reads.due(nowMillis)) {
       effects.add(new DistributionEffect.ReadCurrent());
     }
@@ -203,7 +206,7 @@
 
   private List<DistributionEffect> progress(long nowMillis) {
     applyWhenDue(nowMillis);
-    acquisition.next(held.mark(), nowMillis).ifPresent(this::ask);
+    acquisition.next(held.mark(), peers::reachable, nowMillis).ifPresent(this::ask);
     List<DistributionEffect> done = effects;
     effects = new ArrayList<>();
     return done;
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/PeerSelector.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/PeerSelector.java
@@ -70,6 +70,10 @@
     return Optional.ofNullable(addresses.get(id));
   }
 
+  boolean reachable(NodeId id) {
+    return addresses.containsKey(id);
+  }
+
   int liveCount() {
     return live.size();
   }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/ReadSchedule.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/ReadSchedule.java
@@ -12,9 +12,9 @@
   private static final long NEW_READER_INTERVAL_MILLIS = 4_000;
   private static final long NEW_READER_MILLIS = 8_000;
   private static final long PARTED_INTERVAL_MAX_MILLIS = 5_000;
-  private static final long ANSWER_TIMEOUT_MILLIS = 3_000;
+  private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
   private static final long BACKOFF_MILLIS = 500;
-  private static final long READER_BACKOFF_MAX_MILLIS = 2_000;
+  private static final long READER_BACKOFF_MAX_MILLIS = 1_500;
   private static final long BACKOFF_MAX_MILLIS = 8_000;
 
   private final DistributionSettings settings;
@@ -45,15 +45,24 @@
     }
   }
 
+  /**
+   * Returns whether the answer to the last read is overdue, once for each read. The next read does
+   * not wait for it, and it still counts when it comes.
+   */
+  boolean overdue(long nowMillis) {
+    if (!outstanding || nowMillis - sentMillis < ANSWER_TIMEOUT_MILLIS) {
+      return false;
+    }
+    failed(nowMillis);
+    return true;
+  }
+
   /** Returns whether to read now, and counts the read as sent. */
   boolean due(long nowMillis) {
     if (!started) {
       started = true;
       nextMillis = nowMillis + random.nextLong(settings.startSpreadMillis());
     }
-    if (outstanding && nowMillis - sentMillis >= ANSWER_TIMEOUT_MILLIS) {
-      failed(nowMillis);
-    }
     if (outstanding || nowMillis < nextMillis) {
       return false;
     }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MemberView.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MemberView.java
@@ -75,6 +75,17 @@
     }
   }
 
+  /** Takes in claims that a peer has known for some time; they are no news to send on. */
+  void copyAll(List<Member> claims, long nowMillis) {
+    for (Member claim : claims) {
+      if (claim.id().equals(id())) {
+        refute(claim);
+      } else {
+        table.merge(claim, nowMillis);
+      }
+    }
+  }
+
   /** Notes what a peer says that it has in force. */
   void heard(NodeId sender, VersionMark mark) {
     fence.seen(mark);
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
@@ -262,7 +262,7 @@
   private List<Outbound> receiveMembers(Members members, long nowMillis) {
     joiner.answered();
     long before = table.changes();
-    view.learnAll(members.members(), nowMillis);
+    view.copyAll(members.members(), nowMillis);
     view.heard(members.sender(), members.mark());
     if (table.changes() - before > MembershipSettings.JOIN_SAMPLE / 4) {
       duties.reconcileSoon(nowMillis);
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
@@ -33,7 +33,7 @@
   static final int REPORTS_PER_MESSAGE = 8;
 
   /** How often a dead member or a seed is tried again. */
-  static final long RETRY_GONE_MILLIS = 5_000;
+  static final long RETRY_GONE_MILLIS = 2_000;
 
   /** A longer pause between two ticks means that the process was frozen. */
   static final long FREEZE_MILLIS = 3_000;
