Drive membership and distribution under faults in virtual time

Nine real cores join, commit, announce, pull, apply and leave; every fault strikes at every step, and every pair of them.

--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
@@ -0,0 +1,309 @@
+package io.hemlockbend.testkit.schedule;
+
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.Region;
+import io.hemlockbend.core.distribution.DistributionEffect;
+import io.hemlockbend.core.distribution.Distributor;
+import io.hemlockbend.core.membership.Membership;
+import io.hemlockbend.core.membership.MembershipSettings;
+import io.hemlockbend.core.message.Outbound;
+import io.hemlockbend.core.message.PeerMessage;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.model.Configuration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/** A node: the real membership and distribution, and the shell that carries out their effects. */
+final class MeshNode {
+  private static final long TICK_MILLIS = 100;
+
+  private final NodeSite site;
+  private final MeshEnvironment environment;
+  private final RandomGenerator random;
+  private final List<Runnable> whileFrozen = new ArrayList<>();
+  private Membership membership;
+  private Distributor distributor;
+  private long start;
+  private long membersSeen;
+  private boolean up;
+  private boolean frozen;
+  private boolean served;
+
+  /**
+   * Where a node runs.
+   *
+   * @param id its id
+   * @param region its region
+   * @param domain its failure domain
+   * @param address its control address
+   */
+  record NodeSite(NodeId id, Region region, FailureDomain domain, NodeAddress address) {}
+
+  MeshNode(NodeSite site, MeshEnvironment environment, RandomGenerator random) {
+    this.site = site;
+    this.environment = environment;
+    this.random = random;
+  }
+
+  NodeId id() {
+    return site.id();
+  }
+
+  Region region() {
+    return site.region();
+  }
+
+  FailureDomain domain() {
+    return site.domain();
+  }
+
+  NodeAddress address() {
+    return site.address();
+  }
+
+  boolean up() {
+    return up;
+  }
+
+  boolean serves() {
+    return up && !frozen && distributor.ready();
+  }
+
+  VersionMark mark() {
+    return distributor.mark();
+  }
+
+  Membership membership() {
+    return membership;
+  }
+
+  /** Starts a new process that knows nothing but the seeds. */
+  void start(List<NodeAddress> seeds) {
+    if (up) {
+      return;
+    }
+    start++;
+    up = true;
+    frozen = false;
+    served = false;
+    membersSeen = -1;
+    whileFrozen.clear();
+    Member self =
+        new Member(
+            site.id(),
+            site.region(),
+            site.domain(),
+            site.address(),
+            site.address(),
+            0,
+            MemberStatus.ALIVE,
+            ConfigurationVersion.NONE,
+            Optional.empty());
+    membership = new Membership(self, MembershipSettings.DEFAULT, random);
+    distributor =
+        new Distributor(
+            site.id(), site.domain(), environment.settings(), environment.digester(), random);
+    environment.step(Step.JOIN, this);
+    run(() -> send(membership.join(seeds, now())));
+    schedule(random.nextLong(TICK_MILLIS), this::tick);
+  }
+
+  void kill() {
+    up = false;
+  }
+
+  void freeze() {
+    frozen = true;
+  }
+
+  void thaw() {
+    if (frozen) {
+      frozen = false;
+      List<Runnable> pending = List.copyOf(whileFrozen);
+      whileFrozen.clear();
+      pending.forEach(Runnable::run);
+    }
+  }
+
+  void leave() {
+    run(
+        () -> {
+          environment.step(Step.LEAVE, this);
+          if (up) {
+            send(membership.leave(now()));
+          }
+          up = false;
+        });
+  }
+
+  void receive(PeerMessage message) {
+    run(
+        () -> {
+          send(environment.meter().timed(() -> membership.receive(message, now())));
+          perform(environment.meter().timed(() -> distributor.receive(message, now())));
+        });
+  }
+
+  /** Commits changes on top of what is in force here. */
+  void commit(List<Change> changes, Configuration result) {
+    VersionMark mark = new VersionMark(result.version(), environment.digester().digest(result));
+    environment.step(Step.COMMIT, this);
+    Runnable accepted = () -> perform(distributor.accepted(mark, result, changes, now()));
+    environment.table().commit(mark, result, changes, ofThisProcess(accepted));
+  }
+
+  Configuration configuration() {
+    return distributor.configuration();
+  }
+
+  private long now() {
+    return environment.queue().millis();
+  }
+
+  private void schedule(long delayMillis, Runnable action) {
+    environment.queue().afterMillis(delayMillis, ofThisProcess(action));
+  }
+
+  /** Returns the action for this process only: not after a restart, and not while frozen. */
+  private Runnable ofThisProcess(Runnable action) {
+    long bound = start;
+    return () -> {
+      if (bound == start) {
+        run(action);
+      }
+    };
+  }
+
+  private void run(Runnable action) {
+    if (frozen) {
+      long bound = start;
+      whileFrozen.add(
+          () -> {
+            if (bound == start) {
+              run(action);
+            }
+          });
+    } else if (up) {
+      action.run();
+    }
+  }
+
+  private void tick() {
+    send(environment.meter().timed(() -> membership.tick(now())));
+    if (membership.changes() != membersSeen) {
+      membersSeen = membership.changes();
+      environment.meter().timed(this::passMembersOn);
+    }
+    distributor.recorded(membership.recordedApplied());
+    perform(environment.meter().timed(() -> distributor.tick(now())));
+    noteServing();
+    schedule(TICK_MILLIS, this::tick);
+  }
+
+  private List<DistributionEffect> passMembersOn() {
+    distributor.members(membership.members(), now());
+    return List.of();
+  }
+
+  private void noteServing() {
+    if (distributor.ready() && !served) {
+      served = true;
+      if (distributor.mark().equals(VersionMark.NONE)) {
+        environment.log().applied(id(), VersionMark.NONE, Configuration.EMPTY, now());
+      }
+    }
+  }
+
+  private void send(List<Outbound> messages) {
+    for (Outbound outbound : messages) {
+      switch (outbound.message()) {
+        case PeerMessage.Announcement announcement -> environment.step(Step.ANNOUNCE, this);
+        case PeerMessage.Pull pull -> environment.step(Step.PULL, this);
+        default -> {
+          // No step at which faults are put.
+        }
+      }
+      if (up) {
+        environment.meter().sent(outbound);
+        environment.channel().send(this, outbound);
+      }
+    }
+  }
+
+  private void perform(List<DistributionEffect> effects) {
+    for (DistributionEffect effect : environment.effects().apply(this, effects)) {
+      if (!up) {
+        return;
+      }
+      switch (effect) {
+        case DistributionEffect.Send send -> send(List.of(send.outbound()));
+        case DistributionEffect.ReadCurrent read -> readCurrent();
+        case DistributionEffect.ReadHistory rows -> readHistory(rows);
+        case DistributionEffect.FetchBody fetch -> fetch(fetch);
+        case DistributionEffect.Apply apply -> apply(apply);
+        case DistributionEffect.Refused refused -> environment.meter().refused();
+      }
+    }
+  }
+
+  private void apply(DistributionEffect.Apply apply) {
+    environment.log().applied(id(), apply.mark(), apply.configuration(), now());
+    membership.applied(apply.mark());
+    environment.step(Step.APPLY, this);
+  }
+
+  private void readCurrent() {
+    environment
+        .table()
+        .readCurrent(
+            answer(row -> distributor.currentRead(row, now())),
+            failure(() -> distributor.currentUnavailable(now())));
+  }
+
+  private void readHistory(DistributionEffect.ReadHistory rows) {
+    environment
+        .table()
+        .readHistory(
+            rows.after(),
+            rows.last(),
+            answer(found -> distributor.historyRead(found, now())),
+            failure(() -> distributor.historyUnavailable(now())));
+  }
+
+  private void fetch(DistributionEffect.FetchBody fetch) {
+    environment
+        .table()
+        .fetch(
+            fetch.digest(),
+            answer(
+                found ->
+                    found.isPresent()
+                        ? distributor.bodyFetched(fetch.digest(), found.get(), now())
+                        : distributor.bodyUnavailable(fetch.digest(), now())),
+            failure(() -> distributor.bodyUnavailable(fetch.digest(), now())));
+  }
+
+  private <T> Consumer<T> answer(Function<T, List<DistributionEffect>> take) {
+    long bound = start;
+    return value -> {
+      if (bound == start) {
+        run(() -> perform(environment.meter().timed(() -> take.apply(value))));
+      }
+    };
+  }
+
+  private Runnable failure(Supplier<List<DistributionEffect>> take) {
+    return ofThisProcess(() -> perform(environment.meter().timed(take)));
+  }
+}
