--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
@@ -213,6 +213,7 @@
     return new SettlementStep.ReadHistory(changes.base(), currentVersion());
   }
 
+  /** Take-backs alone only tighten, so they go on whatever others changed. */
   private SettlementStep historyRead(List<RowValue.History> rows) {
     SettlementStep.ReadHistory asked = (SettlementStep.ReadHistory) last;
     if (rows.size() != asked.last().value() - asked.after().value()) {
@@ -220,7 +221,9 @@
     }
     List<Change> own = changeSet.changes();
     List<RowValue.History> competing =
-        rows.stream().filter(row -> ChangeSubject.overlap(own, row.changes())).toList();
+        own.stream().allMatch(Change.TakeBack.class::isInstance)
+            ? List.of()
+            : rows.stream().filter(row -> ChangeSubject.overlap(own, row.changes())).toList();
     return competing.isEmpty()
         ? fetchBase()
         : verdict(conflict(CommitOutcome.Cause.BASE_CHANGED, competing));
--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/ShowReport.java
@@ -0,0 +1,124 @@
+package io.hemlockbend.core.administration;
+
+import io.hemlockbend.core.administration.AdminAnswer.DomainLine;
+import io.hemlockbend.core.administration.AdminAnswer.NodeLine;
+import io.hemlockbend.core.administration.AdminAnswer.ServiceLine;
+import io.hemlockbend.core.administration.AdminAnswer.VersionLine;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.model.DomainState;
+import io.hemlockbend.core.model.Move;
+import io.hemlockbend.core.model.Service;
+import io.hemlockbend.core.model.VersionState;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/** Reports what is in force, and where, from what one node knows. */
+public final class ShowReport {
+  private final VersionMark inForce;
+  private final Configuration configuration;
+  private final Optional<ConfigurationVersion> newestAccepted;
+  private final List<Member> members;
+
+  /**
+   * Makes a report.
+   *
+   * @param inForce the version in force on the node
+   * @param configuration its body
+   * @param newestAccepted the version that the table names; empty when the platform is away
+   * @param members the members that the node knows
+   */
+  public ShowReport(
+      VersionMark inForce,
+      Configuration configuration,
+      Optional<ConfigurationVersion> newestAccepted,
+      Collection<Member> members) {
+    this.inForce = inForce;
+    this.configuration = configuration;
+    this.newestAccepted = newestAccepted;
+    this.members = members.stream().sorted(Comparator.comparing(Member::id)).toList();
+  }
+
+  /** Returns the report. */
+  public AdminAnswer.Show show() {
+    return new AdminAnswer.Show(
+        inForce.version(),
+        inForce.digest(),
+        newestAccepted,
+        configuration.services().values().stream().map(this::service).toList(),
+        List.copyOf(configuration.routes().values()),
+        domains(),
+        members.stream().map(this::node).toList());
+  }
+
+  private ServiceLine service(Service service) {
+    Optional<Move> move = Optional.ofNullable(configuration.moves().get(service.name()));
+    List<VersionLine> versions =
+        configuration.versions().keySet().stream()
+            .filter(key -> key.service().equals(service.name()))
+            .map(key -> version(key, service, move))
+            .toList();
+    return new ServiceLine(
+        service.name(), service.owner(), versions, move.map(Move::deadlineMillis));
+  }
+
+  private VersionLine version(VersionKey key, Service service, Optional<Move> move) {
+    int movedPermille = move.map(Move::sharePermille).orElse(0);
+    int upstreams = (int) members.stream().filter(member -> serves(member, key)).count();
+    if (configuration.versions().get(key) == VersionState.TAKEN_BACK) {
+      return new VersionLine(key.version(), "taken back", 0, upstreams);
+    }
+    if (service.active().equals(key.version())) {
+      return new VersionLine(key.version(), "active", Move.ALL_PERMILLE - movedPermille, upstreams);
+    }
+    boolean movingIn = move.filter(m -> m.to().equals(key.version())).isPresent();
+    return movingIn
+        ? new VersionLine(key.version(), "moving in", movedPermille, upstreams)
+        : new VersionLine(key.version(), "usable", 0, upstreams);
+  }
+
+  private static boolean serves(Member member, VersionKey key) {
+    return alive(member)
+        && member
+            .endpoint()
+            .filter(e -> e.key().equals(key) && e.state() == EndpointState.READY)
+            .isPresent();
+  }
+
+  private List<DomainLine> domains() {
+    TreeSet<FailureDomain> known = new TreeSet<>(configuration.domains().keySet());
+    members.forEach(member -> known.add(member.domain()));
+    return known.stream().map(this::domain).toList();
+  }
+
+  private DomainLine domain(FailureDomain domain) {
+    int nodes = (int) members.stream().filter(m -> alive(m) && m.domain().equals(domain)).count();
+    return switch (configuration.domains().get(domain)) {
+      case null -> new DomainLine(domain, "in use", Optional.empty(), nodes);
+      case DomainState.Withdrawn withdrawn ->
+          new DomainLine(domain, "withdrawn", Optional.of(withdrawn.sinceMillis()), nodes);
+      case DomainState.Restoring restoring ->
+          new DomainLine(domain, "restoring", Optional.of(restoring.startMillis()), nodes);
+    };
+  }
+
+  private NodeLine node(Member member) {
+    ConfigurationVersion newest =
+        newestAccepted.filter(v -> v.newerThan(inForce.version())).orElse(inForce.version());
+    boolean lagging = alive(member) && newest.newerThan(member.applied());
+    return new NodeLine(member.id(), member.domain(), member.status(), member.applied(), lagging);
+  }
+
+  private static boolean alive(Member member) {
+    return member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.SUSPECT;
+  }
+}
