Run every fault at every step of a request under virtual time

What the matrix found, now mended: - a node paused after admission sent a request past its deadline, once after its quarantine had spread: AdmissionController.recheck runs right before the first byte; - a suspect that had broken its connection while it ran alone was tried again before the report spread, for a fourth crash: Broken carries whether the request ran alone, and such a break is not tried again.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -95,6 +96,27 @@
     return grant(nowMillis);
   }
 
+  /**
+   * Checks a request again right before its first byte goes to the upstream. The process may have
+   * been paused since the admission; a request that is late, quarantined or has lost its upstream
+   * by then is not sent, and its permit is released as such.
+   *
+   * @param request the request with its standing of now
+   * @param nowMillis the time
+   * @return why it must not be sent, or empty when it may
+   */
+  public Optional<RefusalReason> recheck(AdmissionRequest request, long nowMillis) {
+    if (request.standing() == Standing.QUARANTINED) {
+      return Optional.of(RefusalReason.QUARANTINED);
+    }
+    if (nowMillis >= request.deadlineMillis()) {
+      return Optional.of(RefusalReason.DEADLINE);
+    }
+    return gate.state() == EndpointState.DOWN
+        ? Optional.of(RefusalReason.NOT_READY)
+        : Optional.empty();
+  }
+
   /** Drops queued requests that cannot be answered in time any more and lets others in. */
   public AdmissionChanges expire(long nowMillis) {
     List<Dropped> dropped =
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/AttemptEnd.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/AttemptEnd.java
@@ -36,12 +36,19 @@
   /** No connection came about; no byte of the request went out. */
   record NotConnected() implements AttemptEnd {}
 
-  /** The connection broke after bytes of the request went out and before an answer began. */
-  record Broken() implements AttemptEnd {}
+  /**
+   * The connection broke after bytes of the request went out and before an answer began.
+   *
+   * @param alone whether the request ran alone on its upstream, as a suspect
+   */
+  record Broken(boolean alone) implements AttemptEnd {}
 
   /** No answer began in time after bytes of the request went out. */
   record TimedOut() implements AttemptEnd {}
 
+  /** The upstream itself answered that it has too much work; its word is not the node's. */
+  record Overloaded() implements AttemptEnd {}
+
   /**
    * The answer began and ended early.
    *
@@ -54,7 +61,7 @@
     return switch (this) {
       case Refused _, NotClaimed _, KeyReused _, NoUpstream _, NotConnected _ -> false;
       case Duplicate(OutcomeWord word) -> word != OutcomeWord.NOT_RUN;
-      case Broken _, TimedOut _, Truncated _ -> true;
+      case Broken _, TimedOut _, Overloaded _, Truncated _ -> true;
     };
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/ResponseHeaders.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/ResponseHeaders.java
@@ -8,6 +8,9 @@
   /** Carries why the request was refused, such as a word of a refusal reason. */
   public static final String REASON = "Hemlockbend-Reason";
 
+  /** Is {@code true} between nodes on a request that must run alone, or whose run alone broke. */
+  public static final String SUSPECT = "Hemlockbend-Suspect";
+
   /** Is {@code true} on an answer that was kept from an earlier send under the same key. */
   public static final String REPLAYED = "Hemlockbend-Replayed";
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/RetryPolicy.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/retry/RetryPolicy.java
@@ -13,8 +13,9 @@
  * quarantined request, and one past its deadline, is not tried again.
  *
  * <p>A request whose connection broke may have crashed the upstream, and the report of that crash
- * may come later than the retry. So the retry runs alone on its upstream, and a second break ends
- * the tries: one send breaks two upstreams at most.
+ * may come later than the retry. So the retry runs alone on its upstream; a second break, or one
+ * while it ran alone, ends the tries: one send breaks two upstreams at most, and a known suspect
+ * one.
  */
 public final class RetryPolicy {
   private static final int MAX_TRIES = 3;
@@ -54,8 +55,9 @@
           reason != RefusalReason.QUARANTINED && reason != RefusalReason.CANCELLED;
       case AttemptEnd.NotClaimed(ClaimRefusal reason) -> reason == ClaimRefusal.TOO_MANY_CLAIMS;
       case AttemptEnd.Duplicate _, AttemptEnd.KeyReused _, AttemptEnd.NoUpstream _ -> false;
-      case AttemptEnd.NotConnected _ -> true;
-      case AttemptEnd.Broken _, AttemptEnd.TimedOut _, AttemptEnd.Truncated _ -> true;
+      case AttemptEnd.Broken(boolean alone) -> !alone;
+      case AttemptEnd.NotConnected _, AttemptEnd.TimedOut _ -> true;
+      case AttemptEnd.Overloaded _, AttemptEnd.Truncated _ -> true;
     };
   }
 
@@ -104,6 +106,7 @@
       case AttemptEnd.NotConnected _ -> "not-connected";
       case AttemptEnd.Broken _ -> "connection-broken";
       case AttemptEnd.TimedOut _ -> "timed-out";
+      case AttemptEnd.Overloaded _ -> "upstream-overloaded";
       case AttemptEnd.Truncated _ -> "answer-truncated";
     };
   }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/AdmissionControllerTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/AdmissionControllerTest.java
@@ -69,10 +69,11 @@
   @Test
   void aSlowRouteIsNoColdStart() {
     warmUp();
-    for (int i = 0; i < 200; i++) {
-      RouteName route = i % 2 == 0 ? new RouteName("photos") : ROUTE;
+    for (int i = 0; i < 100; i++) {
+      boolean photo = i % 20 < 10;
+      RouteName route = photo ? new RouteName("photos") : ROUTE;
       Permit permit = new Permit(admitted(Priority.NORMAL).number(), route, false);
-      admission.release(permit, RunOutcome.ANSWERED, i % 2 == 0 ? 400 : 20, now);
+      admission.release(permit, RunOutcome.ANSWERED, photo ? 400 : 20, now);
     }
     assertThat(admission.currentLimit()).isEqualTo(4);
   }
@@ -140,6 +141,21 @@
         .hasSize(1);
   }
 
+  @Test
+  void aPausedProcessChecksAgainBeforeItSends() {
+    AdmissionRequest due = request(Priority.NORMAL, 100, Standing.CLEAR);
+    assertThat(admission.recheck(due, 99)).isEmpty();
+    assertThat(admission.recheck(due, 100)).contains(RefusalReason.DEADLINE);
+    AdmissionRequest crashing = request(Priority.NORMAL, 100, Standing.QUARANTINED);
+    assertThat(admission.recheck(crashing, 0)).contains(RefusalReason.QUARANTINED);
+    warmUp();
+    admission.gate(new AdmissionGate(EndpointState.DOWN, VERSION, false, false, 1), now);
+    assertThat(admission.recheck(request(Priority.NORMAL, FAR_MILLIS, Standing.CLEAR), now))
+        .contains(RefusalReason.NOT_READY);
+    admission.gate(open, now);
+    assertThat(admission.currentLimit()).isEqualTo(1);
+  }
+
   @Test
   void aDomainBeingRestoredUsesAPartOfTheSlots() {
     warmUp();
@@ -183,8 +199,12 @@
   }
 
   private AdmissionDecision offer(Priority priority, long deadlineMillis, Standing standing) {
+    return admission.offer(request(priority, deadlineMillis, standing), now);
+  }
+
+  private static AdmissionRequest request(
+      Priority priority, long deadlineMillis, Standing standing) {
     RequestId id = new RequestId("r");
-    return admission.offer(
-        new AdmissionRequest(id, ROUTE, VERSION, priority, deadlineMillis, standing), now);
+    return new AdmissionRequest(id, ROUTE, VERSION, priority, deadlineMillis, standing);
   }
 }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/claim/ClaimLedgerTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/claim/ClaimLedgerTest.java
@@ -89,9 +89,9 @@
 
   @Test
   void aRowOfAnEarlierStartOfThisNodeMayHaveRun() {
-    claimAndLose(KEY, 0);
-    ledger.readsDue(10);
-    Row earlier = new Row(RowKey.claim(KEY), 1, new RowValue.Claim(KEY, new NodeId("n1:6"), 0));
+    claimAndLose(KEY, 5);
+    ledger.readsDue(15);
+    Row earlier = new Row(RowKey.claim(KEY), 1, new RowValue.Claim(KEY, new NodeId("n1:6"), 5));
     assertThat(ledger.readBack(KEY, read(earlier), 20))
         .contains(new ClaimResolution.MayHaveRun(KEY));
     Row sameNameOtherStamp = new Row(RowKey.claim(OTHER), 1, new RowValue.Claim(OTHER, SELF, -9));
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/retry/RetryPolicyTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/retry/RetryPolicyTest.java
@@ -9,12 +9,15 @@
 
 class RetryPolicyTest {
   private static final AttemptEnd FULL = new AttemptEnd.Refused(RefusalReason.QUEUE_FULL);
-  private static final AttemptEnd BROKEN = new AttemptEnd.Broken();
+  private static final AttemptEnd BROKEN = new AttemptEnd.Broken(false);
 
   private final RetryBudget budget = new RetryBudget(0.1, 1, 0);
 
   @Test
   void triesSafeRequestsAgainAndOthersOnlyIfNothingRan() {
+    for (int call = 0; call < 100; call++) {
+      budget.called();
+    }
     assertThat(decide(BROKEN, true, 1))
         .isEqualTo(new RetryDecision.RetryElsewhere(Exclusion.UPSTREAM, true));
     assertThat(decide(BROKEN, false, 1))
@@ -40,6 +43,8 @@
     assertThat(RetryPolicy.decide(late, budget, 6)).isInstanceOf(RetryDecision.GiveUp.class);
     assertThat(decide(new AttemptEnd.Refused(RefusalReason.QUARANTINED), true, 1))
         .isEqualTo(new RetryDecision.GiveUp(OutcomeWord.NOT_RUN, 503, "quarantined"));
+    assertThat(decide(new AttemptEnd.Broken(true), true, 1))
+        .isInstanceOf(RetryDecision.GiveUp.class);
     Attempt second = new Attempt(BROKEN, true, 2, 2, true, 1_000, 10);
     assertThat(RetryPolicy.decide(second, budget, 0)).isInstanceOf(RetryDecision.GiveUp.class);
   }
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Line.java
@@ -0,0 +1,14 @@
+package io.hemlockbend.testkit.matrix;
+
+/** What must hold in every cell. */
+enum Line {
+  SLOTS_NOT_OVERRUN,
+  AT_MOST_ONCE,
+  NOT_RUN_IS_TRUE,
+  NO_WORK_AFTER_DRAIN,
+  DRAIN_CUTS_NOTHING,
+  OWN_WHOLE_ANSWER,
+  CRASHES_BOUNDED,
+  INNOCENTS_NOT_QUARANTINED,
+  EVERY_SEND_TOLD
+}
