Serve the administration API over HTTP and JSON

What changes goes through the table; show and explain answer from memory while the platform is away.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminPaths.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminPaths.java
@@ -2,6 +2,9 @@
 
 /** The paths of the administration API. */
 public final class AdminPaths {
+  /** What all paths start with. */
+  public static final String PREFIX = "/v1/";
+
   /** Stages changes. */
   public static final String STAGE = "/v1/stage";
 
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationService.java
@@ -0,0 +1,185 @@
+package io.hemlockbend.node.admin;
+
+import io.hemlockbend.core.acceptance.ChangeDraft;
+import io.hemlockbend.core.acceptance.ChangeSet;
+import io.hemlockbend.core.acceptance.CommitOrder;
+import io.hemlockbend.core.acceptance.ServiceOwnership;
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.administration.AdminRequest.CommitTag;
+import io.hemlockbend.core.administration.ConfigurationDiff;
+import io.hemlockbend.core.administration.Fault;
+import io.hemlockbend.core.administration.Problem;
+import io.hemlockbend.core.administration.ProblemKey;
+import io.hemlockbend.core.administration.ShowReport;
+import io.hemlockbend.core.api.Clock;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.model.ChangeApplier;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.core.table.RowValue;
+import io.hemlockbend.core.validation.ConfigurationChecker;
+import io.hemlockbend.core.validation.Violation;
+import io.hemlockbend.platform.TableService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+
+/**
+ * Carries operators' commands out. What changes goes through the table; what is asked of the mesh
+ * is answered from the node's memory, so that it works while the platform is away. Safe for use by
+ * any thread. Futures fail with {@link AdministrationException}.
+ */
+public final class AdministrationService {
+  private final TableService table;
+  private final CommitExecutor commits;
+  private final MeshView mesh;
+  private final Clock clock;
+  private final StagingArea staging;
+  private final ConfigurationChecker checker = ConfigurationChecker.forAcceptance();
+
+  /**
+   * Makes a service.
+   *
+   * @param table the platform's table
+   * @param commits carries commits out
+   * @param mesh what the node knows
+   * @param clock tells the time
+   */
+  public AdministrationService(
+      TableService table, CommitExecutor commits, MeshView mesh, Clock clock) {
+    this.table = table;
+    this.commits = commits;
+    this.mesh = mesh;
+    this.clock = clock;
+    this.staging = new StagingArea(table);
+  }
+
+  /** Stages changes and tells what they would alter. */
+  public CompletableFuture<AdminAnswer.Staged> stage(Operator operator, List<Change> changes) {
+    Optional<AdministrationException> forbidden = forbidden(operator, changes);
+    if (forbidden.isPresent()) {
+      return CompletableFuture.failedFuture(forbidden.get());
+    }
+    return staging
+        .add(operator.author().name(), mesh.inForce().version(), changes)
+        .thenApply(set -> staged(operator, set));
+  }
+
+  /** Tells what the staged changes would alter. */
+  public CompletableFuture<AdminAnswer.Staged> diff(Operator operator) {
+    return staging
+        .read(operator.author().name(), mesh.inForce().version())
+        .thenApply(set -> staged(operator, set));
+  }
+
+  /** Forgets the staged changes. */
+  public CompletableFuture<AdminAnswer.Staged> discard(Operator operator) {
+    return staging
+        .clear(operator.author().name(), mesh.inForce().version())
+        .thenApply(set -> staged(operator, set));
+  }
+
+  /** Commits the staged changes. */
+  public CompletableFuture<AdminAnswer.Accepted> commit(Operator operator, CommitTag tag) {
+    return commit(operator, Optional.empty(), tag);
+  }
+
+  /** Commits changes that were never staged. */
+  public CompletableFuture<AdminAnswer.Accepted> commit(
+      Operator operator, List<Change> changes, CommitTag tag) {
+    ChangeSet direct = ChangeSet.direct(mesh.inForce().version(), changes);
+    return commit(operator, Optional.of(direct), tag);
+  }
+
+  private CompletableFuture<AdminAnswer.Accepted> commit(
+      Operator operator, Optional<ChangeSet> direct, CommitTag tag) {
+    CommitOrder order =
+        new CommitOrder(tag.id(), operator.author(), clock.millis(), liveDomains(), List.of());
+    return commits
+        .run(order, direct, tag.resent())
+        .thenApply(outcome -> CommitAnswers.answer(tag.id(), outcome));
+  }
+
+  /** Shows what is in force, and where; works while the platform is away. */
+  public CompletableFuture<AdminAnswer.Show> show() {
+    return table
+        .read(RowKey.CURRENT)
+        .thenApply(
+            row ->
+                row.map(r -> ((RowValue.Current) r.value()).version())
+                    .or(() -> Optional.of(ConfigurationVersion.NONE)))
+        .exceptionally(failure -> Optional.empty())
+        .thenApply(this::show);
+  }
+
+  private AdminAnswer.Show show(Optional<ConfigurationVersion> newestAccepted) {
+    return new ShowReport(mesh.inForce(), mesh.configuration(), newestAccepted, mesh.members())
+        .show();
+  }
+
+  /** Lists the newest accepted versions. */
+  public CompletableFuture<AdminAnswer.History> history(int limit) {
+    return table
+        .scan(RowKey.HISTORY_PREFIX, limit)
+        .thenApply(rows -> rows.stream().map(row -> (RowValue.History) row.value()).toList())
+        .thenApply(AdminAnswer.History::new)
+        .exceptionallyCompose(PlatformFailures::notDone);
+  }
+
+  /** Tells why a request was routed or refused; works while the platform is away. */
+  public CompletableFuture<AdminAnswer.Explanation> explain(RequestId request) {
+    return CompletableFuture.completedFuture(
+        new AdminAnswer.Explanation(request, mesh.decisions(request)));
+  }
+
+  /** Steps of moves and ends of restores are the rollout controller's to make. */
+  private Optional<AdministrationException> forbidden(Operator operator, List<Change> changes) {
+    boolean controllers =
+        changes.stream()
+            .anyMatch(c -> c instanceof Change.AdvanceMove || c instanceof Change.FinishRestore);
+    if (controllers) {
+      return Optional.of(
+          AdministrationException.of(
+              ProblemKey.FORBIDDEN,
+              "advance-move and finish-restore are made by the rollout controller"));
+    }
+    List<Violation> foreign =
+        changes.stream()
+            .flatMap(
+                c -> ServiceOwnership.check(mesh.configuration(), c, operator.author()).stream())
+            .toList();
+    return foreign.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new AdministrationException(Problem.refused(ProblemKey.FORBIDDEN, foreign)));
+  }
+
+  private AdminAnswer.Staged staged(Operator operator, ChangeSet set) {
+    Configuration inForce = mesh.configuration();
+    ChangeDraft draft = ChangeDraft.of(inForce, set.changes(), operator.author(), clock.millis());
+    Configuration next = ChangeApplier.apply(inForce, draft.accepted());
+    List<Violation> violations = new ArrayList<>(draft.violations());
+    violations.addAll(checker.check(next, liveDomains()));
+    return new AdminAnswer.Staged(
+        operator.author().name(),
+        set.base(),
+        inForce.version(),
+        set.changes(),
+        ConfigurationDiff.between(inForce, next),
+        Fault.of(violations));
+  }
+
+  private Set<FailureDomain> liveDomains() {
+    return mesh.members().stream()
+        .filter(member -> member.status() == MemberStatus.ALIVE)
+        .map(Member::domain)
+        .collect(Collectors.toSet());
+  }
+}
--- /dev/null
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/TokenAuthenticator.java
@@ -0,0 +1,110 @@
+package io.hemlockbend.node.admin;
+
+import io.hemlockbend.core.acceptance.Author;
+import io.hemlockbend.core.api.TeamName;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Knows operators by bearer tokens. Only SHA-256 hashes of the tokens are kept. A presented token
+ * is hashed and compared with every hash in constant time, so that the time tells nothing of how
+ * much of a token was right or which one it was.
+ */
+public final class TokenAuthenticator {
+  /** The team that may change everything. */
+  public static final String EVERYTHING = "*";
+
+  /** The team name under which those operators are entered in the audit. */
+  public static final TeamName PLATFORM_TEAM = new TeamName("platform");
+
+  private static final String SCHEME = "bearer ";
+  private static final String HASHED = "sha256:";
+  private static final int NAME_DIGITS = 8;
+
+  private final List<Grant> grants;
+
+  private record Grant(byte[] hash, Operator operator) {}
+
+  private TokenAuthenticator(List<Grant> grants) {
+    this.grants = List.copyOf(grants);
+  }
+
+  /**
+   * Reads the setting of the operators' tokens.
+   *
+   * @param setting {@code token=role:team} or {@code token=role:team:name}, separated by commas;
+   *     the token may be given as {@code sha256:} and the 64 hexadecimal digits of its hash. The
+   *     default name is the team with the first digits of the hash.
+   * @throws IllegalArgumentException when an entry is malformed; the message names its position and
+   *     holds no token
+   */
+  public static TokenAuthenticator of(String setting) {
+    if (setting.isBlank()) {
+      return new TokenAuthenticator(List.of());
+    }
+    String[] entries = setting.split(",");
+    Grant[] grants = new Grant[entries.length];
+    for (int i = 0; i < entries.length; i++) {
+      grants[i] = grant(i + 1, entries[i].trim());
+    }
+    return new TokenAuthenticator(Arrays.asList(grants));
+  }
+
+  private static Grant grant(int position, String entry) {
+    int split = entry.lastIndexOf('=');
+    String[] parts = entry.substring(split + 1).split(":");
+    if (split < 1 || parts.length < 2 || parts.length > 3) {
+      throw new IllegalArgumentException("token " + position + " must be token=role:team[:name]");
+    }
+    byte[] hash = hash(entry.substring(0, split));
+    boolean ownsAll = parts[1].equals(EVERYTHING);
+    TeamName team = ownsAll ? PLATFORM_TEAM : new TeamName(parts[1]);
+    String name =
+        parts.length == 3
+            ? parts[2]
+            : team + "-" + HexFormat.of().formatHex(hash).substring(0, NAME_DIGITS);
+    Author author = new Author(name, team, ownsAll);
+    return new Grant(hash, new Operator(author, Role.valueOf(parts[0].toUpperCase(Locale.ROOT))));
+  }
+
+  private static byte[] hash(String token) {
+    return token.startsWith(HASHED)
+        ? HexFormat.of().parseHex(token.substring(HASHED.length()))
+        : sha256(token);
+  }
+
+  private static byte[] sha256(String token) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every JDK has SHA-256", e);
+    }
+  }
+
+  /**
+   * Finds the operator of a request.
+   *
+   * @param authorization the request's Authorization header, or null
+   * @return the operator, or empty when the token is missing or unknown
+   */
+  public Optional<Operator> authenticate(String authorization) {
+    if (authorization == null
+        || !authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+      return Optional.empty();
+    }
+    byte[] presented = sha256(authorization.substring(SCHEME.length()).trim());
+    Operator found = null;
+    for (Grant grant : grants) {
+      if (MessageDigest.isEqual(grant.hash(), presented)) {
+        found = grant.operator();
+      }
+    }
+    return Optional.ofNullable(found);
+  }
+}
