--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
@@ -9,12 +9,14 @@
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.platform.TableService;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -22,6 +24,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
 import org.eclipse.jetty.util.Promise;
 
 /**
@@ -110,8 +113,15 @@
       return failed(ProblemKey.FORBIDDEN, "the token's role is reader");
     }
     return body(request)
-        .thenCompose(
-            body -> command.run(operator, new CommandInput(body, Request.getParameters(request))));
+        .thenCompose(body -> command.run(operator, new CommandInput(body, query(request))));
+  }
+
+  private static Fields query(Request request) {
+    try {
+      return Request.extractQueryParameters(request, StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException | HttpException.RuntimeException e) {
+      throw AdministrationException.of(ProblemKey.MALFORMED, "the query is malformed");
+    }
   }
 
   private CompletableFuture<byte[]> body(Request request) {
