Serve the administration API, recheck before the first byte, place keyed requests

A request that was paused after its admission is checked again right before its first byte; a suspect that broke its connection alone is not tried again. Keyed requests go by rendezvous hash of the key, so that a resend through any entry meets the ledger that knows it. An upstream that sheds a safe request is tried elsewhere within the budget; if that is spent its own answer goes on.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Locality.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Locality.java
@@ -4,6 +4,8 @@
 public enum Locality {
   /** It stays in the own failure domain. */
   OWN_DOMAIN("own-domain"),
+  /** The request's idempotency key decides. */
+  BY_KEY("by-key"),
   /** The own failure domain has no upstream that may be chosen. */
   NONE_LOCAL("none-local"),
   /** The upstreams of the own failure domain are busy. */
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Router.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/Router.java
@@ -1,6 +1,9 @@
 package io.hemlockbend.core.routing;
 
+import io.hemlockbend.core.api.IdempotencyKey;
+import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.claim.ClaimPlacement;
 import io.hemlockbend.core.model.Route;
 import io.hemlockbend.core.model.Service;
 import java.util.List;
@@ -58,6 +61,11 @@
     Predicate<Candidate> untried = request.exclusions()::admit;
     Predicate<Candidate> healthy = untried.and(c -> !view.ejected(c.upstream()));
     Predicate<Candidate> preferred = healthy.and(c -> ticket < c.sharePermille());
+    if (request.key().isPresent()) {
+      return place(request.key().get(), pool, List.of(preferred, healthy, untried))
+          .<RoutingDecision>map(c -> new RoutingDecision.Forward(route, c, Locality.BY_KEY))
+          .orElseGet(() -> refuse(route, key, pool));
+    }
     Candidate local = twoChoices.choose(pool.local(), preferred, random);
     if (local != null && twoChoices.load(local) < BUSY_LOAD) {
       return new RoutingDecision.Forward(route, local, Locality.OWN_DOMAIN);
@@ -69,6 +77,24 @@
         return new RoutingDecision.Forward(route, any, locality);
       }
     }
+    return refuse(route, key, pool);
+  }
+
+  /** Returns the first upstream for the key, so that a resend meets the ledger that knows it. */
+  private static Optional<Candidate> place(
+      IdempotencyKey key, Pool pool, List<Predicate<Candidate>> preferences) {
+    for (Predicate<Candidate> eligible : preferences) {
+      List<Candidate> left = pool.all().stream().filter(eligible).toList();
+      if (!left.isEmpty()) {
+        UpstreamId first =
+            ClaimPlacement.order(key, left.stream().map(Candidate::upstream).toList()).getFirst();
+        return left.stream().filter(c -> c.upstream().equals(first)).findFirst();
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static RoutingDecision refuse(Route route, VersionKey key, Pool pool) {
     RefusalReason reason =
         pool.all().isEmpty() ? RefusalReason.NO_UPSTREAM : RefusalReason.EXHAUSTED;
     return new RoutingDecision.Refuse(reason, Optional.of(route), Optional.of(key));
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
@@ -6,6 +6,7 @@
 import io.hemlockbend.core.api.Endpoint;
 import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.IdempotencyKey;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
@@ -149,7 +150,10 @@
     RoutingTable table = table(CONFIGURATION, member("a", TUNIS, V1));
     RoutingRequest request =
         new RoutingRequest(
-            new RequestId("r"), "/safety/1", Exclusions.NONE.with(new UpstreamId("a")));
+            new RequestId("r"),
+            "/safety/1",
+            Optional.empty(),
+            Exclusions.NONE.with(new UpstreamId("a")));
     assertThat(router.decide(table, request, random))
         .isInstanceOfSatisfying(
             RoutingDecision.Refuse.class,
@@ -161,13 +165,28 @@
     Configuration moving = change(new Change.StartMove(SAFETY, V2.version(), 0, 100), advance(999));
     RoutingTable table = table(moving, member("a", TUNIS, V1), member("b", TUNIS, V2));
     RoutingRequest request =
-        new RoutingRequest(new RequestId("r"), "/safety/1", Exclusions.NONE.with(V2));
+        new RoutingRequest(
+            new RequestId("r"), "/safety/1", Optional.empty(), Exclusions.NONE.with(V2));
     assertThat(router.decide(table, request, random))
         .isInstanceOfSatisfying(
             RoutingDecision.Forward.class,
             forward -> assertThat(forward.candidate().key()).isEqualTo(V1));
   }
 
+  @Test
+  void keyedRequestMeetsTheSameUpstreamFromEveryFailureDomain() {
+    Member[] members = {member("a", TUNIS, V1), member("b", SFAX, V1), member("c", SFAX, V1)};
+    for (int i = 0; i < 50; i++) {
+      Optional<IdempotencyKey> key = Optional.of(new IdempotencyKey("key-" + i));
+      RoutingRequest request =
+          new RoutingRequest(new RequestId("r"), "/safety/1", key, Exclusions.NONE);
+      RoutingDecision here = router.decide(table(CONFIGURATION, members), request, random);
+      RoutingTable elsewhere =
+          RoutingTable.build(new RoutingInput(CONFIGURATION, List.of(members), Set.of(), SFAX, 0));
+      assertThat(router.decide(elsewhere, request, random)).isEqualTo(here);
+    }
+  }
+
   @Test
   void restoredDomainGrowsByDegrees() {
     Configuration back = change(new Change.Withdraw(SFAX, 0), new Change.Restore(SFAX, 0, 1000));
@@ -188,7 +207,7 @@
 
   private Optional<UpstreamId> chosen(RoutingTable table, String request) {
     RoutingRequest routed =
-        new RoutingRequest(new RequestId(request), "/safety/1", Exclusions.NONE);
+        new RoutingRequest(new RequestId(request), "/safety/1", Optional.empty(), Exclusions.NONE);
     return switch (router.decide(table, routed, random)) {
       case RoutingDecision.Forward forward -> Optional.of(forward.candidate().upstream());
       case RoutingDecision.Refuse refuse -> Optional.empty();
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -16,6 +16,9 @@
 import io.hemlockbend.core.evidence.EvidenceCounter;
 import io.hemlockbend.core.lease.LeaseKeeper;
 import io.hemlockbend.core.validation.ConfigurationChecker;
+import io.hemlockbend.node.admin.AdministrationHandler;
+import io.hemlockbend.node.admin.AdministrationService;
+import io.hemlockbend.node.admin.TokenAuthenticator;
 import io.hemlockbend.node.admission.AdmissionService;
 import io.hemlockbend.node.admission.MeshHandler;
 import io.hemlockbend.node.admission.Quarantine;
@@ -69,6 +72,7 @@
 public final class Node implements AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(Node.class);
   private static final double SLOW_CALL_MILLIS = 250;
+  private static final long ADMIN_BODY_MILLIS = 5_000;
   private static final long NOTICE_MILLIS = 1_500;
   private static final long DRAIN_POLL_MILLIS = 20;
   private static final int CLAIM_NAME_CHARACTERS = 50;
@@ -276,10 +280,24 @@
             admin,
             new Handler.Sequence(
                 new AnnounceHandler(new JsonCodec(), control::announced),
+                administration(),
                 new MetricsHandler(registry, this::ready)));
     return new ListenerHandler(handlers, new DrainTracker(0, settings.drainMillis()));
   }
 
+  private AdministrationHandler administration() {
+    AdministrationService service =
+        new AdministrationService(table, commits::run, new NodeMeshView(control, recent), clock);
+    return new AdministrationHandler(
+        service,
+        TokenAuthenticator.of(settings.tokens()),
+        table,
+        settings.nodeId(),
+        clock,
+        new JsonCodec(),
+        ADMIN_BODY_MILLIS);
+  }
+
   /**
    * Stops gracefully: the mesh hears first and sends no new work, then the requests in flight are
    * waited for, at most as long as the settings say.
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
@@ -38,6 +38,7 @@
  */
 public final class AdmissionService {
   private static final double NANOS_PER_MILLI = 1e6;
+  private static final Answer BROKEN = new Answer.Ended(new AttemptEnd.Broken(false));
 
   private record Run(Call call, UpstreamLink link, Permit permit, boolean cold, long startNanos) {}
 
@@ -196,12 +197,21 @@
       current.crashes().started(call.request());
       run = new Run(call, current, permit, current.cold(), System.nanoTime());
     }
-    return claims.run(call, () -> forward(call, current)).thenApply(answer -> finish(run, answer));
+    return claims.run(call, () -> forward(run)).thenApply(answer -> finish(run, answer));
   }
 
-  private CompletableFuture<Answer> forward(Call call, UpstreamLink current) {
-    long totalMillis = Math.max(1, call.deadlineMillis() - clock.millis());
-    return forwarder.send(call, new Hop(current.address(), false, totalMillis, totalMillis));
+  private CompletableFuture<Answer> forward(Run run) {
+    Call call = run.call();
+    long now = clock.millis();
+    Optional<RefusalReason> refusal;
+    synchronized (lock) {
+      refusal = run.link().controller().recheck(request(call), now);
+    }
+    if (refusal.isPresent()) {
+      return CompletableFuture.completedFuture(refuse(call, refusal.get()));
+    }
+    long totalMillis = call.deadlineMillis() - now;
+    return forwarder.send(call, new Hop(run.link().address(), false, totalMillis, totalMillis));
   }
 
   private Answer finish(Run run, Answer answer) {
@@ -216,7 +226,8 @@
     if (answer instanceof Answer.Ended(AttemptEnd end) && end instanceof AttemptEnd.NotConnected) {
       listener.unreachable();
     }
-    return answer;
+    boolean brokenAlone = run.permit().alone() && answer.equals(BROKEN);
+    return brokenAlone ? new Answer.Ended(new AttemptEnd.Broken(true)) : answer;
   }
 
   private void ended(Run run, RunOutcome outcome) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunOutcomes.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunOutcomes.java
@@ -12,6 +12,7 @@
 
   static RunOutcome of(Answer answer) {
     return switch (answer) {
+      case Answer.Whole whole when whole.overloaded() -> RunOutcome.OVERLOADED;
       case Answer.Whole whole -> ofStatus(whole.status());
       case Answer.Streamed streamed -> ofStatus(streamed.status());
       case Answer.Ended(AttemptEnd end) -> ofEnd(end);
@@ -20,10 +21,6 @@
   }
 
   private static RunOutcome ofStatus(int status) {
-    if (status == HttpStatus.SERVICE_UNAVAILABLE_503
-        || status == HttpStatus.TOO_MANY_REQUESTS_429) {
-      return RunOutcome.OVERLOADED;
-    }
     return HttpStatus.isServerError(status) ? RunOutcome.FAILED : RunOutcome.ANSWERED;
   }
 
@@ -31,6 +28,7 @@
     return switch (end) {
       case AttemptEnd.Broken _, AttemptEnd.Truncated _ -> RunOutcome.BROKEN;
       case AttemptEnd.TimedOut _ -> RunOutcome.TIMED_OUT;
+      case AttemptEnd.Overloaded _ -> RunOutcome.OVERLOADED;
       case AttemptEnd.Refused _,
           AttemptEnd.NotClaimed _,
           AttemptEnd.Duplicate _,
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -161,6 +161,10 @@
     peers.send(outbound);
   }
 
+  private void send(List<Outbound> outbound) {
+    outbound.forEach(peers::send);
+  }
+
   @Override
   public void brake(List<Brake> found) {
     if (found.isEmpty()) {
@@ -354,10 +358,6 @@
         now);
   }
 
-  private void send(List<Outbound> outbound) {
-    outbound.forEach(peers::send);
-  }
-
   @Override
   public void close() {
     thread.shutdown();
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
@@ -111,7 +111,8 @@
       return CompletableFuture.completedFuture(refuse(incoming, RefusalReason.DEADLINE));
     }
     RoutingRequest request =
-        new RoutingRequest(incoming.request(), incoming.path(), progress.exclusions());
+        new RoutingRequest(
+            incoming.request(), incoming.path(), incoming.key(), progress.exclusions());
     RoutingDecision decision = router.decide(table.get(), request, ThreadLocalRandom.current());
     log(incoming, decision);
     return switch (decision) {
@@ -123,7 +124,7 @@
 
   private static Answer refused(RoutingDecision.Refuse refuse, Progress progress) {
     if (progress.mayHaveRun()) {
-      return new Answer.Ended(new AttemptEnd.Broken());
+      return new Answer.Ended(new AttemptEnd.Broken(false));
     }
     return ErrorAnswers.refused(refuse.reason());
   }
@@ -154,21 +155,20 @@
 
   private CompletableFuture<Answer> answered(
       Incoming incoming, Call call, Candidate candidate, Progress progress, Answer answer) {
-    if (!(answer instanceof Answer.Ended(AttemptEnd end))) {
+    AttemptEnd end = endOf(call, answer);
+    if (end == null) {
       cells.answered(candidate.upstream());
       return CompletableFuture.completedFuture(answer);
     }
-    if (end instanceof AttemptEnd.Refused) {
-      cells.refused(candidate.upstream());
-    } else {
-      cells.broken(candidate.upstream());
-    }
+    note(candidate, end);
     RetryDecision next = decideRetry(call, progress, end);
     return switch (next) {
       case RetryDecision.RetryElsewhere elsewhere -> {
         logRetry(call, "retry-elsewhere");
         yield attempt(incoming, next(progress, elsewhere, candidate, end));
       }
+      case RetryDecision.GiveUp giveUp when answer instanceof Answer.Whole ->
+          CompletableFuture.completedFuture(answer);
       case RetryDecision.GiveUp giveUp -> {
         logRetry(call, "give-up-" + giveUp.reason());
         yield CompletableFuture.completedFuture(
@@ -178,6 +178,34 @@
     };
   }
 
+  /** Returns how the try ended, or null when its answer goes to the caller as it is. */
+  private static AttemptEnd endOf(Call call, Answer answer) {
+    return switch (answer) {
+      case Answer.Ended(AttemptEnd end) -> end;
+      case Answer.Whole whole when call.safe() && whole.overloaded() -> new AttemptEnd.Overloaded();
+      case Answer.Whole whole -> null;
+      case Answer.Streamed streamed -> null;
+      case Answer.Told told -> null;
+    };
+  }
+
+  private void note(Candidate candidate, AttemptEnd end) {
+    switch (end) {
+      case AttemptEnd.Refused _,
+          AttemptEnd.NotClaimed _,
+          AttemptEnd.Duplicate _,
+          AttemptEnd.KeyReused _,
+          AttemptEnd.NoUpstream _,
+          AttemptEnd.Overloaded _ ->
+          cells.refused(candidate.upstream());
+      case AttemptEnd.NotConnected _,
+          AttemptEnd.Broken _,
+          AttemptEnd.TimedOut _,
+          AttemptEnd.Truncated _ ->
+          cells.broken(candidate.upstream());
+    }
+  }
+
   private RetryDecision decideRetry(Call call, Progress progress, AttemptEnd end) {
     boolean repeatable = call.safe() && call.repeatableBody();
     boolean resendable = call.repeatableBody() || !end.mayHaveRun();
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Answer.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Answer.java
@@ -3,6 +3,7 @@
 import io.hemlockbend.core.retry.AttemptEnd;
 import io.hemlockbend.core.retry.OutcomeWord;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /** What came of a request over one hop. */
@@ -15,7 +16,14 @@
    * @param fields the header fields that pass through
    * @param body the body
    */
-  record Whole(int status, HttpFields fields, byte[] body) implements Answer {}
+  record Whole(int status, HttpFields fields, byte[] body) implements Answer {
+
+    /** Returns whether the upstream says that it has too much work. */
+    public boolean overloaded() {
+      return status == HttpStatus.SERVICE_UNAVAILABLE_503
+          || status == HttpStatus.TOO_MANY_REQUESTS_429;
+    }
+  }
 
   /**
    * A large answer whose rest is still to come; when it fails the caller's connection is aborted.
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/EndWords.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/EndWords.java
@@ -15,6 +15,8 @@
   private static final String NOT_CONNECTED = "not-connected";
   private static final String NO_UPSTREAM = "no-upstream";
   private static final String BROKEN = "connection-broken";
+  private static final String BROKEN_ALONE = "connection-broken-alone";
+  private static final String OVERLOADED = "upstream-overloaded";
   private static final String TIMED_OUT = "timed-out";
   private static final String TRUNCATED = "answer-truncated";
   private static final String DUPLICATE = "duplicate";
@@ -39,7 +41,9 @@
           new Answer.Told(OutcomeWord.NOT_RUN, ResponseHeaders.KEY_REUSED_STATUS, KEY_REUSED);
       case AttemptEnd.NoUpstream _ -> notRun(NO_UPSTREAM);
       case AttemptEnd.NotConnected _ -> notRun(NOT_CONNECTED);
-      case AttemptEnd.Broken _ -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, BROKEN);
+      case AttemptEnd.Broken(boolean alone) ->
+          mayHaveRun(ResponseHeaders.BROKEN_STATUS, alone ? BROKEN_ALONE : BROKEN);
+      case AttemptEnd.Overloaded _ -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, OVERLOADED);
       case AttemptEnd.TimedOut _ -> mayHaveRun(ResponseHeaders.TIMED_OUT_STATUS, TIMED_OUT);
       case AttemptEnd.Truncated _ -> mayHaveRun(ResponseHeaders.BROKEN_STATUS, TRUNCATED);
     };
@@ -56,10 +60,16 @@
       case ResponseHeaders.DUPLICATE_STATUS -> new AttemptEnd.Duplicate(outcome);
       case ResponseHeaders.KEY_REUSED_STATUS -> new AttemptEnd.KeyReused();
       case ResponseHeaders.TIMED_OUT_STATUS -> new AttemptEnd.TimedOut();
-      default -> outcome == OutcomeWord.NOT_RUN ? notRunEnd(reason) : new AttemptEnd.Broken();
+      default -> outcome == OutcomeWord.NOT_RUN ? notRunEnd(reason) : brokenEnd(reason);
     };
   }
 
+  private static AttemptEnd brokenEnd(String reason) {
+    return OVERLOADED.equals(reason)
+        ? new AttemptEnd.Overloaded()
+        : new AttemptEnd.Broken(BROKEN_ALONE.equals(reason));
+  }
+
   private static AttemptEnd notRunEnd(String reason) {
     RefusalReason refusal = REASONS.get(reason);
     if (refusal != null) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
@@ -161,7 +161,7 @@
     if (failure instanceof TimeoutException) {
       return new Answer.Ended(new AttemptEnd.TimedOut());
     }
-    return new Answer.Ended(new AttemptEnd.Broken());
+    return new Answer.Ended(new AttemptEnd.Broken(false));
   }
 
   private static Answer fromNode(Answer.Whole whole) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/Format.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/Format.java
@@ -47,9 +47,12 @@
       "([0-9A-Za-z.\\-]+:\\d{1,5}(,[0-9A-Za-z.\\-]+:\\d{1,5})*)?"),
   /** Tokens. */
   TOKENS(
-      "token=role:team, separated by commas; tokens of 16 to 128 characters",
-      "([^=,\\s]{16,128}=(reader|operator):[A-Za-z0-9._*-]+"
-          + "(,[^=,\\s]{16,128}=(reader|operator):[A-Za-z0-9._*-]+)*)?");
+      "token=role:team or token=role:team:name, separated by commas; tokens of 16 to 128 characters"
+          + " or sha256: and 64 hexadecimal digits",
+      "(" + Format.GRANT + "(," + Format.GRANT + ")*)?");
+
+  private static final String GRANT =
+      "[^=,\\s]{16,128}=(reader|operator):([A-Za-z0-9._-]+|\\*)(:[A-Za-z0-9._-]+)?";
 
   private final String allowed;
   private final Pattern pattern;
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/Setting.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/Setting.java
@@ -77,8 +77,8 @@
       "tokens",
       "",
       Format.TOKENS,
-      "Operators' tokens as token=role:team, separated by commas; role is reader or operator, team"
-          + " * may change everything.");
+      "Operators' tokens as token=role:team[:name], separated by commas; role is reader or"
+          + " operator, team * may change everything; a token may be given as sha256:digits.");
 
   private final String flag;
   private final String fallback;
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
@@ -10,6 +10,7 @@
 import io.hemlockbend.core.routing.RoutingTable;
 import io.hemlockbend.core.routing.UpstreamView;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -71,7 +72,11 @@
     Router router = new Router(IDLE);
     SplittableRandom random = new SplittableRandom(size);
     RoutingRequest request =
-        new RoutingRequest(new RequestId("request-1"), "/service-7/part-1/item", Exclusions.NONE);
+        new RoutingRequest(
+            new RequestId("request-1"),
+            "/service-7/part-1/item",
+            Optional.empty(),
+            Exclusions.NONE);
     return Timing.nanos(() -> router.decide(table, request, random));
   }
 }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/EmbeddedUpstream.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/EmbeddedUpstream.java
@@ -38,10 +38,10 @@
   static EmbeddedUpstream start(UpstreamSpec spec, URI platform, String seeds, String tokens) {
     RunLedger ledger = new RunLedger();
     Node node = Node.start(settings(spec, platform, seeds, tokens));
-    return new EmbeddedUpstream(spec, ledger, node, upstream(spec, ledger, node));
+    return new EmbeddedUpstream(spec, ledger, node, startUpstream(spec, ledger, node));
   }
 
-  private static UpstreamServer upstream(UpstreamSpec spec, RunLedger ledger, Node node) {
+  private static UpstreamServer startUpstream(UpstreamSpec spec, RunLedger ledger, Node node) {
     UpstreamSettings settings =
         UpstreamSettings.basic(spec.name(), spec.service(), spec.version())
             .withServiceMillis(spec.serviceMillis())
@@ -93,7 +93,7 @@
   /** Crashes the upstream and starts it anew. */
   public void restartUpstream() {
     server.crash();
-    server = upstream(spec, ledger, node);
+    server = startUpstream(spec, ledger, node);
   }
 
   @Override
