Check recorded traces against stated outcomes

One class per rule: whole answers, no cut requests, at most once, true refusals, withdrawn domains, leaving upstreams, never older, convergence, share of bad versions. Each names the record types that it wants; what it finds are typed values with their line. Cold starts are not checked here: a trace doesn't hold how many requests were inside at once.

Every rule has a recorded broken trace that it alone catches, at the right line.

--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/AtMostOnceCheck.java
@@ -0,0 +1,44 @@
+package io.hemlockbend.testkit.replay;
+
+import io.hemlockbend.codec.trace.TraceRecord;
+import io.hemlockbend.core.api.IdempotencyKey;
+import io.hemlockbend.testkit.trace.TraceLine;
+import io.hemlockbend.testkit.trace.TracePosition;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Checks that no idempotency key ran more than once, on all upstreams together. */
+public final class AtMostOnceCheck implements OutcomeCheck {
+  private final Map<IdempotencyKey, TracePosition> firstRuns = new HashMap<>();
+  private final List<Violation> violations = new ArrayList<>();
+
+  /** Makes the check. */
+  public AtMostOnceCheck() {}
+
+  @Override
+  public Set<Class<? extends TraceRecord>> wants() {
+    return Set.of(TraceRecord.Run.class);
+  }
+
+  @Override
+  public void see(TraceLine line) {
+    if (line.record() instanceof TraceRecord.Run run) {
+      run.key().ifPresent(key -> count(key, line.position()));
+    }
+  }
+
+  private void count(IdempotencyKey key, TracePosition position) {
+    TracePosition first = firstRuns.putIfAbsent(key, position);
+    if (first != null) {
+      violations.add(new Violation.RepeatedRun(position, key, first));
+    }
+  }
+
+  @Override
+  public List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/BadVersionShareCheck.java
@@ -0,0 +1,79 @@
+package io.hemlockbend.testkit.replay;
+
+import io.hemlockbend.codec.trace.TraceRecord;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.testkit.replay.StatedOutcomes.BadVersion;
+import io.hemlockbend.testkit.trace.TraceLine;
+import io.hemlockbend.testkit.trace.TracePosition;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** Checks that a bad version got a small share of its service's runs, and none from a time on. */
+public final class BadVersionShareCheck implements OutcomeCheck {
+  private static final long ALL_PERMILLE = 1000;
+
+  private final List<Tally> tallies;
+
+  /** Makes the check. */
+  public BadVersionShareCheck(StatedOutcomes outcomes) {
+    tallies = outcomes.badVersions().stream().map(Tally::new).toList();
+  }
+
+  @Override
+  public Set<Class<? extends TraceRecord>> wants() {
+    return Set.of(TraceRecord.Run.class);
+  }
+
+  @Override
+  public void see(TraceLine line) {
+    if (line.record() instanceof TraceRecord.Run run) {
+      tallies.forEach(tally -> tally.count(run, line.position()));
+    }
+  }
+
+  @Override
+  public List<Violation> violations() {
+    return tallies.stream().flatMap(tally -> tally.violations().stream()).toList();
+  }
+
+  private static final class Tally {
+    private final BadVersion bad;
+    private final List<Violation> late = new ArrayList<>();
+    private TracePosition lastRun;
+    private long runs;
+    private long ofRuns;
+
+    Tally(BadVersion bad) {
+      this.bad = bad;
+    }
+
+    void count(TraceRecord.Run run, TracePosition position) {
+      VersionKey key = new VersionKey(run.service(), run.version());
+      boolean ofService = run.service().equals(bad.version().service());
+      boolean ofVersion = key.equals(bad.version());
+      long lateMillis = run.atMillis() - bad.noneFromMillis();
+      if (ofVersion && lateMillis >= 0) {
+        late.add(new Violation.BadVersionUsed(position, key, lateMillis));
+      }
+      if (!ofService || lateMillis >= 0) {
+        return;
+      }
+      ofRuns++;
+      if (ofVersion) {
+        runs++;
+        lastRun = position;
+      }
+    }
+
+    List<Violation> violations() {
+      List<Violation> all = new ArrayList<>(late);
+      if (runs * ALL_PERMILLE > ofRuns * bad.maxSharePermille()) {
+        all.add(
+            new Violation.BadShareExceeded(
+                lastRun, bad.version(), runs, ofRuns, bad.maxSharePermille()));
+      }
+      return all;
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/LeavingUpstreamCheck.java
@@ -0,0 +1,45 @@
+package io.hemlockbend.testkit.replay;
+
+import io.hemlockbend.codec.trace.TraceRecord;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.testkit.replay.StatedOutcomes.Leaving;
+import io.hemlockbend.testkit.trace.TraceLine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Checks that no work started on an upstream once it was leaving and the grace had passed. */
+public final class LeavingUpstreamCheck implements OutcomeCheck {
+  private final Map<UpstreamId, Long> lastMillis = new HashMap<>();
+  private final List<Violation> violations = new ArrayList<>();
+
+  /** Makes the check. */
+  public LeavingUpstreamCheck(StatedOutcomes outcomes) {
+    for (Leaving leaving : outcomes.leavings()) {
+      lastMillis.put(leaving.upstream(), leaving.atMillis() + outcomes.leavingGraceMillis());
+    }
+  }
+
+  @Override
+  public Set<Class<? extends TraceRecord>> wants() {
+    return Set.of(TraceRecord.Run.class);
+  }
+
+  @Override
+  public void see(TraceLine line) {
+    if (line.record() instanceof TraceRecord.Run run) {
+      long lateMillis = run.atMillis() - lastMillis.getOrDefault(run.upstream(), Long.MAX_VALUE);
+      if (lateMillis > 0) {
+        violations.add(
+            new Violation.WorkOnLeavingUpstream(line.position(), run.upstream(), lateMillis));
+      }
+    }
+  }
+
+  @Override
+  public List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/UncutRequestCheck.java
@@ -0,0 +1,44 @@
+package io.hemlockbend.testkit.replay;
+
+import io.hemlockbend.codec.trace.AnswerState;
+import io.hemlockbend.codec.trace.TraceRecord;
+import io.hemlockbend.testkit.trace.TraceLine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** Checks that no answer broke off or stayed away, but for calls that a stated crash overlaps. */
+public final class UncutRequestCheck implements OutcomeCheck {
+  private static final Set<AnswerState> CUT = Set.of(AnswerState.BROKEN, AnswerState.NONE);
+
+  private final List<StatedOutcomes.Window> crashes;
+  private final List<Violation> violations = new ArrayList<>();
+
+  /** Makes the check. */
+  public UncutRequestCheck(StatedOutcomes outcomes) {
+    crashes = outcomes.crashes();
+  }
+
+  @Override
+  public Set<Class<? extends TraceRecord>> wants() {
+    return Set.of(TraceRecord.Call.class);
+  }
+
+  @Override
+  public void see(TraceLine line) {
+    if (line.record() instanceof TraceRecord.Call call
+        && CUT.contains(call.answer())
+        && !excused(call)) {
+      violations.add(new Violation.CutRequest(line.position(), call.request(), call.answer()));
+    }
+  }
+
+  private boolean excused(TraceRecord.Call call) {
+    return crashes.stream().anyMatch(crash -> crash.overlaps(call.atMillis(), call.endMillis()));
+  }
+
+  @Override
+  public List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/replay/TraceReplayTest.java
@@ -0,0 +1,53 @@
+package io.hemlockbend.testkit.replay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.testkit.trace.TraceReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TraceReplayTest {
+  private static final Path DIRECTORY = Path.of("src/test/resources/replay");
+
+  private static List<Violation> replay(String trace) throws IOException {
+    StatedOutcomes outcomes =
+        new JsonCodec()
+            .decode(Files.readAllBytes(DIRECTORY.resolve("outcomes.json")), StatedOutcomes.class);
+    TraceReplay replay = new TraceReplay(TraceReplay.allChecks(outcomes));
+    new TraceReader().read(DIRECTORY.resolve(trace), replay::see);
+    return replay.violations();
+  }
+
+  @Test
+  void goodTracePasses() throws IOException {
+    assertThat(replay("good.jsonl")).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "damaged-answer, WrongAnswer, 27",
+    "crossed-answer, WrongAnswer, 27",
+    "cut-request, CutRequest, 27",
+    "repeated-run, RepeatedRun, 27",
+    "false-not-run, FalseNotRun, 28",
+    "work-in-withdrawn-domain, WorkInWithdrawnDomain, 27",
+    "work-on-leaving-upstream, WorkOnLeavingUpstream, 27",
+    "older-configuration, OlderConfiguration, 27",
+    "late-configuration, LateConfiguration, 26",
+    "bad-version-used, BadVersionUsed, 27",
+    "bad-share-exceeded, BadShareExceeded, 27"
+  })
+  void brokenTraceIsCaughtByItsRuleOnly(String trace, String violation, int line)
+      throws IOException {
+    List<Violation> violations = replay(trace + ".jsonl");
+    assertThat(violations).hasSize(1);
+    assertThat(violations.getFirst().getClass().getSimpleName()).isEqualTo(violation);
+    assertThat(violations.getFirst().position().line()).isEqualTo(line);
+  }
+}
