--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/evidence/VersionComparisonTest.java
@@ -0,0 +1,118 @@
+package io.hemlockbend.core.evidence;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class VersionComparisonTest {
+  private static final int SHARE_PERMILLE = 200;
+
+  private final Strata strata = new Strata(new SplittableRandom(7));
+  private final VersionComparison comparison = new VersionComparison();
+
+  private Verdict verdict(int second) {
+    return comparison.verdict(SHARE_PERMILLE, second * 1000L, second * 1000L);
+  }
+
+  /** Adds seconds of 40 old and 10 fresh calls in each domain; returns when it was found bad. */
+  private int secondsToBad(
+      int seconds, double oldFailing, double freshFailing, double freshMillis) {
+    verdict(0);
+    for (int second = 0; second < seconds; second++) {
+      for (int domain = 0; domain < Strata.DOMAINS; domain++) {
+        Counts old = strata.draw(40, oldFailing, 20);
+        Counts fresh = strata.draw(10, freshFailing, freshMillis);
+        comparison.add(Strata.of(second, 0, domain, old, fresh));
+      }
+      if (verdict(second + 1) instanceof Verdict.Bad) {
+        return second + 1;
+      }
+    }
+    return Integer.MAX_VALUE;
+  }
+
+  @Test
+  void versionThatFailsAllIsBadWithinOneSecond() {
+    assertThat(secondsToBad(10, 0.002, 1, 20)).isEqualTo(1);
+  }
+
+  @Test
+  void versionThatFailsOrIsSlowIsBadWithinSeconds() {
+    assertThat(secondsToBad(20, 0.002, 0.1, 20)).isLessThanOrEqualTo(10);
+  }
+
+  @Test
+  void slowVersionIsBadWithinSeconds() {
+    assertThat(secondsToBad(20, 0.002, 0.002, 60)).isLessThanOrEqualTo(5);
+  }
+
+  @Test
+  void likeVersionIsGoodAfterEnoughCalls() {
+    verdict(0);
+    comparison.add(Strata.of(0, 0, 0, strata.draw(40, 0, 20), strata.draw(10, 0, 20)));
+    assertThat(verdict(1)).isInstanceOf(Verdict.NotEnough.class);
+    secondsToBad(5, 0.002, 0.002, 20);
+    assertThat(verdict(6)).isInstanceOf(Verdict.Good.class);
+  }
+
+  @Test
+  void callsOfAnEarlierShareDoNotCountTowardsGood() {
+    secondsToBad(5, 0, 0, 20);
+    assertThat(comparison.verdict(SHARE_PERMILLE + 1, 5000, 5000))
+        .isEqualTo(new Verdict.NotEnough(false, "only 0 calls to judge"));
+  }
+
+  @Test
+  void overloadOfBothVersionsCondemnsNone() {
+    assertThat(secondsToBad(60, 0.5, 0.5, 20)).isEqualTo(Integer.MAX_VALUE);
+  }
+
+  @Test
+  void oneAccidentDoesNotCondemn() {
+    verdict(0);
+    Counts crash = new Counts(20, 20, 0, 100);
+    comparison.add(Strata.of(0, 0, 0, strata.draw(40, 0, 20), crash));
+    assertThat(verdict(1)).isInstanceOf(Verdict.NotEnough.class);
+  }
+
+  @Test
+  void faultOnOneRouteIsFoundBesideHealthyRoutes() {
+    int found = Integer.MAX_VALUE;
+    for (int second = 0; second < 30 && found == Integer.MAX_VALUE; second++) {
+      comparison.add(
+          Strata.of(second, 0, 0, strata.draw(200, 0.01, 20), strata.draw(50, 0.01, 20)));
+      comparison.add(Strata.of(second, 1, 0, strata.draw(8, 0, 20), strata.draw(2, 0.5, 20)));
+      found = verdict(second + 1) instanceof Verdict.Bad ? second : found;
+    }
+    assertThat(found).isLessThan(30);
+  }
+
+  /** The fresh version has more of its calls in the domain that is sick. */
+  private Verdict sickDomain(boolean sameDomainRule) {
+    for (int second = 0; second < 60; second++) {
+      Counts oldSick = strata.draw(10, 0.3, 60);
+      Counts freshSick = strata.draw(20, 0.3, 60);
+      Counts oldWell = strata.draw(80, 0.002, 20);
+      Counts freshWell = strata.draw(10, 0.002, 20);
+      if (sameDomainRule) {
+        comparison.add(Strata.of(second, 0, 0, oldSick, freshSick));
+        comparison.add(Strata.of(second, 0, 1, oldWell, freshWell));
+      } else {
+        comparison.add(Strata.of(second, 0, 0, oldSick.plus(oldWell), freshSick.plus(freshWell)));
+      }
+      verdict(second + 1);
+    }
+    return verdict(61);
+  }
+
+  @Test
+  void sickDomainCondemnsNoVersion() {
+    assertThat(sickDomain(true)).isInstanceOf(Verdict.Good.class);
+  }
+
+  @Test
+  void withoutTheSameDomainRuleTheSickDomainWouldCondemn() {
+    assertThat(sickDomain(false)).isInstanceOf(Verdict.Bad.class);
+  }
+}
