--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/ReadSchedule.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/ReadSchedule.java
@@ -13,8 +13,9 @@
   private static final long NEW_READER_MILLIS = 8_000;
   private static final long PARTED_INTERVAL_MAX_MILLIS = 5_000;
   private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
-  private static final long BACKOFF_MILLIS = 500;
+  private static final long READER_BACKOFF_MILLIS = 500;
   private static final long READER_BACKOFF_MAX_MILLIS = 1_500;
+  private static final long BACKOFF_MILLIS = 4_000;
   private static final long BACKOFF_MAX_MILLIS = 8_000;
 
   private final DistributionSettings settings;
@@ -23,7 +24,7 @@
   private long readerSinceMillis = Long.MAX_VALUE;
   private long nextMillis = Long.MIN_VALUE;
   private long sentMillis;
-  private long backoffMillis = BACKOFF_MILLIS;
+  private int failures;
   private boolean outstanding;
   private boolean started;
 
@@ -73,22 +74,34 @@
 
   void answered(long nowMillis) {
     outstanding = false;
-    backoffMillis = BACKOFF_MILLIS;
+    failures = 0;
     nextMillis = nowMillis + jittered(intervalMillis(nowMillis));
   }
 
   void failed(long nowMillis) {
     outstanding = false;
-    nextMillis = nowMillis + jittered(backoffMillis);
-    long maxMillis = election.reader() ? READER_BACKOFF_MAX_MILLIS : BACKOFF_MAX_MILLIS;
-    backoffMillis = Math.min(2 * backoffMillis, maxMillis);
+    nextMillis = nowMillis + jittered(backoffMillis(nowMillis));
+    failures++;
+  }
+
+  private long backoffMillis(long nowMillis) {
+    if (!settledReader(nowMillis)) {
+      return failures == 0 ? BACKOFF_MILLIS : BACKOFF_MAX_MILLIS;
+    }
+    long doubledMillis = READER_BACKOFF_MILLIS << Math.min(failures, 2);
+    long boundedMillis = Math.min(doubledMillis, READER_BACKOFF_MAX_MILLIS);
+    return Math.max(boundedMillis, intervalMillis(nowMillis));
+  }
+
+  private boolean settledReader(long nowMillis) {
+    return election.reader() && nowMillis - readerSinceMillis >= NEW_READER_MILLIS;
   }
 
   private long intervalMillis(long nowMillis) {
     if (!election.reader()) {
       return IDLE_INTERVAL_MILLIS;
     }
-    if (nowMillis - readerSinceMillis < NEW_READER_MILLIS) {
+    if (!settledReader(nowMillis)) {
       return NEW_READER_INTERVAL_MILLIS;
     }
     long scaledMillis = settings.readIntervalMillis() * election.known() / election.live();
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
@@ -0,0 +1,197 @@
+package io.hemlockbend.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Digest;
+import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.message.Outbound;
+import io.hemlockbend.core.message.PeerMessage;
+import io.hemlockbend.core.message.PeerMessage.Ack;
+import io.hemlockbend.core.message.PeerMessage.Brake;
+import io.hemlockbend.core.message.PeerMessage.Members;
+import io.hemlockbend.core.message.PeerMessage.Ping;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+  private static final VersionMark MARK_1 =
+      new VersionMark(new ConfigurationVersion(1), new Digest("1".repeat(64)));
+  private static final VersionMark MARK_2 =
+      new VersionMark(new ConfigurationVersion(2), new Digest("2".repeat(64)));
+
+  private final Map<NodeAddress, Membership> up = new HashMap<>();
+  private long now = 1_000;
+
+  private Membership start(int index) {
+    Membership node =
+        new Membership(Claims.node(index), MembershipSettings.DEFAULT, new SplittableRandom(index));
+    up.put(Claims.node(index).control(), node);
+    deliver(node.join(List.of(Claims.node(1).control()), now));
+    return node;
+  }
+
+  private void deliver(List<Outbound> messages) {
+    for (Outbound outbound : messages) {
+      Membership to = up.get(outbound.to());
+      if (to != null) {
+        deliver(to.receive(outbound.message(), now));
+      }
+    }
+  }
+
+  private void run(long millis) {
+    for (long end = now + millis; now < end; now += 100) {
+      List.copyOf(up.values()).forEach(node -> deliver(node.tick(now)));
+    }
+  }
+
+  private static MemberStatus seen(Membership by, int index) {
+    return by.find(Claims.node(index).id()).map(Member::status).orElse(null);
+  }
+
+  @Test
+  void nodesFindEachOtherAndTellOfEndpoints() {
+    Membership first = start(1);
+    Membership second = start(2);
+    Membership third = start(3);
+    third.endpoint(Optional.of(Claims.endpoint(1, EndpointState.READY)));
+    run(3_000);
+    assertThat(first.members()).hasSize(3);
+    assertThat(second.find(third.self().id()).orElseThrow().endpoint())
+        .contains(Claims.endpoint(1, EndpointState.READY));
+  }
+
+  @Test
+  void silentNodeIsSuspectedThenDeadAndReturnsWithAHigherIncarnation() {
+    Membership first = start(1);
+    start(2);
+    Membership third = start(3);
+    run(3_000);
+    up.remove(third.self().control());
+    run(4_000);
+    assertThat(seen(first, 3)).isEqualTo(MemberStatus.SUSPECT);
+    run(8_000);
+    assertThat(seen(first, 3)).isEqualTo(MemberStatus.DEAD);
+    Membership again = start(3);
+    run(3_000);
+    assertThat(seen(first, 3)).isEqualTo(MemberStatus.ALIVE);
+    assertThat(again.self().incarnation()).isPositive();
+  }
+
+  @Test
+  void leaverIsKnownAsLeftAndNotAsDead() {
+    Membership first = start(1);
+    Membership second = start(2);
+    run(3_000);
+    deliver(second.leave(now));
+    up.remove(second.self().control());
+    run(12_000);
+    assertThat(seen(first, 2)).isEqualTo(MemberStatus.LEFT);
+    assertThat(second.tick(now)).isEmpty();
+  }
+
+  @Test
+  void partsHealAfterAnHour() {
+    Membership first = start(1);
+    Membership second = start(2);
+    run(3_000);
+    up.remove(second.self().control());
+    run(3_600_000);
+    assertThat(seen(first, 2)).isEqualTo(MemberStatus.DEAD);
+    up.put(second.self().control(), second);
+    run(10_000);
+    assertThat(seen(first, 2)).isEqualTo(MemberStatus.ALIVE);
+    assertThat(seen(second, 1)).isEqualTo(MemberStatus.ALIVE);
+  }
+
+  @Test
+  void thawedNodeIsFencedUntilItHasHeardAndCaughtUp() {
+    Membership first = start(1);
+    Membership second = start(2);
+    first.applied(MARK_1);
+    second.applied(MARK_1);
+    run(3_000);
+    up.remove(second.self().control());
+    first.applied(MARK_2);
+    run(20_000);
+    up.put(second.self().control(), second);
+    second.receive(new Ack(first.self().id(), 1, MARK_1, List.of(), List.of(), List.of()), now);
+    assertThat(second.fenced()).isTrue();
+    run(5_000);
+    assertThat(second.fenced()).as("has heard, but not caught up").isTrue();
+    second.applied(MARK_2);
+    assertThat(second.fenced()).isFalse();
+  }
+
+  @Test
+  void frozenNodeDoesNotAccuseOthers() {
+    Membership first = start(1);
+    start(2);
+    run(3_000);
+    now += 60_000;
+    deliver(first.tick(now));
+    assertThat(seen(first, 2)).isEqualTo(MemberStatus.ALIVE);
+  }
+
+  @Test
+  void peersTellARestartedNodeWhatItHadApplied() {
+    Membership first = start(1);
+    start(2).applied(MARK_2);
+    run(3_000);
+    Membership again = start(2);
+    assertThat(first.find(again.self().id()).orElseThrow().applied()).isEqualTo(MARK_2.version());
+    assertThat(again.recordedApplied()).isEqualTo(MARK_2.version());
+  }
+
+  @Test
+  void brakeReachesAllOnceAndLaterJoinersToo() {
+    Membership first = start(1);
+    Membership second = start(2);
+    run(3_000);
+    Brake brake =
+        new Brake(
+            new VersionKey(new ServiceName("s"), new VersionName("v2")),
+            MARK_1.version(),
+            "failures");
+    first.spread(brake);
+    run(1_000);
+    assertThat(second.receivedBrakes()).containsExactly(brake);
+    run(5_000);
+    assertThat(second.receivedBrakes()).isEmpty();
+    assertThat(start(3).receivedBrakes()).containsExactly(brake);
+  }
+
+  @Test
+  void messagesStayBoundedWhateverHappens() {
+    Membership node = start(1);
+    List<Member> many = new ArrayList<>();
+    for (int index = 2; index < 250; index++) {
+      many.add(Claims.node(index));
+    }
+    node.receive(new Ping(many.getFirst().id(), 0, MARK_1, many, List.of(), List.of()), now);
+    for (Outbound outbound : node.tick(now)) {
+      if (outbound.message() instanceof Ping ping) {
+        assertThat(ping.news()).hasSizeLessThanOrEqualTo(8);
+      }
+    }
+    PeerMessage join = new PeerMessage.Join(Claims.node(250).id(), Claims.node(250));
+    assertThat(node.receive(join, now))
+        .allSatisfy(
+            outbound ->
+                assertThat(((Members) outbound.message()).members())
+                    .hasSizeLessThanOrEqualTo(MembershipSettings.JOIN_SAMPLE + 2));
+  }
+}
