Count resends of a transaction on a server of its own

The test counted the requests of a transaction and of a later scan on one server. Transaction and scan now each have their own server and must each send just one request, which is as strict.

--- a/hemlockbend-platform/src/test/java/io/hemlockbend/platform/HttpTableServiceTest.java
+++ b/hemlockbend-platform/src/test/java/io/hemlockbend/platform/HttpTableServiceTest.java
@@ -90,8 +90,12 @@
     try (ScriptedServer server = ScriptedServer.answering(answer)) {
       HttpTableService service = service(server.uri(), TIMEOUT_MILLIS);
       failsWith(PlatformException.Unknown.class, service.transact(DELETE));
+      assertThat(server.requests()).isEqualTo(1);
+    }
+    try (ScriptedServer server = ScriptedServer.answering(answer)) {
+      HttpTableService service = service(server.uri(), TIMEOUT_MILLIS);
       failsWith(PlatformException.NotApplied.class, service.scan("a", 1));
-      assertThat(server.requests()).isEqualTo(2);
+      assertThat(server.requests()).isEqualTo(1);
     }
   }
 
