Drive the administration API from the command line

The same words as the API. A command that no node got goes to the next node; one that may have been done is sent again only under its commit id, until its outcome is known or the time is over.

--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AnswerPrinter.java
@@ -0,0 +1,130 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.table.RowValue;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+
+/** Prints answers as tables or as JSON. */
+final class AnswerPrinter {
+  private static final String NONE = "-";
+
+  private AnswerPrinter() {}
+
+  static void print(Object answer, OutputForm form, PrintWriter out) {
+    if (form == OutputForm.JSON) {
+      out.println(new String(new JsonCodec().encode(answer), StandardCharsets.UTF_8));
+    } else {
+      table(answer, out);
+    }
+    out.flush();
+  }
+
+  private static void table(Object answer, PrintWriter out) {
+    switch (answer) {
+      case AdminAnswer.Staged staged -> staged(staged, out);
+      case AdminAnswer.Accepted accepted ->
+          out.println("accepted as version " + accepted.version());
+      case AdminAnswer.Show show -> show(show, out);
+      case AdminAnswer.History history -> history(history, out);
+      case AdminAnswer.Explanation explanation -> explanation(explanation, out);
+      default -> out.println(answer);
+    }
+  }
+
+  private static void staged(AdminAnswer.Staged staged, PrintWriter out) {
+    out.println(
+        "%d changes staged by %s on version %s; version %s is in force"
+            .formatted(
+                staged.changes().size(), staged.operator(), staged.base(), staged.inForce()));
+    TextTable lines = new TextTable("PART", "BEFORE", "AFTER");
+    staged
+        .lines()
+        .forEach(
+            line -> lines.row(line.part(), line.before().orElse(NONE), line.after().orElse(NONE)));
+    lines.print(out);
+    staged.faults().forEach(fault -> out.println("not valid yet: " + fault.message()));
+  }
+
+  private static void show(AdminAnswer.Show show, PrintWriter out) {
+    String newest =
+        show.newestAccepted()
+            .map(version -> "newest accepted " + version)
+            .orElse("the platform is away: the table could not be read");
+    out.println("version " + show.inForce() + " in force on this node; " + newest);
+    TextTable services =
+        new TextTable("SERVICE", "OWNER", "VERSION", "STATE", "PERMILLE", "UPSTREAMS", "DUE");
+    show.services()
+        .forEach(
+            service -> service.versions().forEach(version -> service(services, service, version)));
+    services.print(out);
+    TextTable routes = new TextTable("ROUTE", "PATH", "SERVICE", "PRIORITY");
+    show.routes().forEach(r -> routes.row(r.name(), r.pathPrefix(), r.service(), r.priority()));
+    routes.print(out);
+    TextTable domains = new TextTable("DOMAIN", "STATE", "SINCE", "NODES");
+    show.domains()
+        .forEach(
+            d ->
+                domains.row(
+                    d.domain(),
+                    d.state(),
+                    d.sinceMillis().map(AnswerPrinter::time).orElse(NONE),
+                    d.nodes()));
+    domains.print(out);
+    TextTable nodes = new TextTable("NODE", "DOMAIN", "STATUS", "VERSION", "LAGS");
+    show.nodes()
+        .forEach(
+            n ->
+                nodes.row(
+                    n.node(), n.domain(), n.status(), n.applied(), n.lagging() ? "yes" : "no"));
+    nodes.print(out);
+  }
+
+  private static void service(
+      TextTable table, AdminAnswer.ServiceLine service, AdminAnswer.VersionLine version) {
+    table.row(
+        service.service(),
+        service.owner(),
+        version.version(),
+        version.state(),
+        version.sharePermille(),
+        version.upstreams(),
+        service.deadlineMillis().map(AnswerPrinter::time).orElse(NONE));
+  }
+
+  private static void history(AdminAnswer.History history, PrintWriter out) {
+    TextTable table = new TextTable("VERSION", "AT", "AUTHOR", "COMMIT", "CHANGES");
+    for (RowValue.History row : history.versions()) {
+      table.row(row.version(), time(row.atMillis()), row.author(), row.commit(), row.changes());
+    }
+    table.print(out);
+  }
+
+  private static void explanation(AdminAnswer.Explanation explanation, PrintWriter out) {
+    if (explanation.decisions().isEmpty()) {
+      out.println("this node remembers no decision on request " + explanation.request());
+      return;
+    }
+    TextTable table =
+        new TextTable("AT", "KIND", "ROUTE", "VERSION", "UPSTREAM", "REFUSED", "REASON");
+    explanation
+        .decisions()
+        .forEach(
+            d ->
+                table.row(
+                    time(d.atMillis()),
+                    d.kind(),
+                    d.route().map(Object::toString).orElse(NONE),
+                    d.version().map(Object::toString).orElse(NONE),
+                    d.upstream().map(Object::toString).orElse(NONE),
+                    d.refused() ? "yes" : "no",
+                    d.reason()));
+    table.print(out);
+  }
+
+  private static String time(long millis) {
+    return Instant.ofEpochMilli(millis).toString();
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ClientException.java
@@ -0,0 +1,51 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.Problem;
+import java.util.Optional;
+
+/** Tells why a command has no answer to print. */
+public final class ClientException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final int exitCode;
+  private final transient Optional<Problem> problem;
+
+  private ClientException(int exitCode, String message, Problem problem, Throwable cause) {
+    super(message, cause);
+    this.exitCode = exitCode;
+    this.problem = Optional.ofNullable(problem);
+  }
+
+  /** Returns the error of a problem that a node told. */
+  static ClientException told(Problem problem) {
+    int code =
+        switch (problem.problem()) {
+          case UNKNOWN, INTERNAL -> ExitCodes.UNKNOWN;
+          case PLATFORM_AWAY -> ExitCodes.UNREACHABLE;
+          default -> ExitCodes.REFUSED;
+        };
+    return new ClientException(code, problem.message(), problem, null);
+  }
+
+  /** Returns the error of a request that no node got. */
+  static ClientException unreachable(Throwable cause) {
+    String message = "no node could be reached: " + cause.getMessage();
+    return new ClientException(ExitCodes.UNREACHABLE, message, null, cause);
+  }
+
+  /** Returns the error of a request whose answer was lost. */
+  static ClientException unknown(Throwable cause) {
+    String message = "the answer was lost, the command may have been done: " + cause;
+    return new ClientException(ExitCodes.UNKNOWN, message, null, cause);
+  }
+
+  /** Returns how the process is to end. */
+  public int exitCode() {
+    return exitCode;
+  }
+
+  /** Returns what the node told, when one did. */
+  public Optional<Problem> problem() {
+    return problem;
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/CommitOptions.java
@@ -0,0 +1,38 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.AdminRequest.CommitTag;
+import io.hemlockbend.core.api.CommitId;
+import java.util.UUID;
+import picocli.CommandLine.Option;
+
+/** The flags of a commit. */
+final class CommitOptions {
+  @Option(
+      names = "--commit-id",
+      paramLabel = "ID",
+      description = "The id of an earlier try to settle; by default a new one is made.")
+  private CommitId given;
+
+  @Option(
+      names = "--wait",
+      description = "Wait until the version is in force on all live nodes, at most --timeout.")
+  private boolean wait;
+
+  private CommitId id;
+
+  CommitId id() {
+    if (id == null) {
+      id = given == null ? new CommitId(UUID.randomUUID().toString()) : given;
+    }
+    return id;
+  }
+
+  /** Returns the tag of a try; an id that was given may have been sent by an earlier process. */
+  CommitTag tag(boolean resent) {
+    return new CommitTag(id(), resent || given != null);
+  }
+
+  boolean waits() {
+    return wait;
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/CommittingCommand.java
@@ -0,0 +1,41 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.administration.AdminRequest.CommitTag;
+import java.util.Optional;
+import picocli.CommandLine.Mixin;
+
+/** A command that commits, or stages unless it is told to commit. */
+abstract class CommittingCommand extends AdminCommand {
+  @Mixin private CommitOptions options;
+  private AdminAnswer.Accepted accepted;
+
+  /** Returns the path of the command. */
+  abstract String path();
+
+  /** Returns the body, with the tag when it is to commit. */
+  abstract Object body(Optional<CommitTag> tag);
+
+  /** Returns whether to commit at once. */
+  abstract boolean commits();
+
+  @Override
+  Object ask(AdminClient client) {
+    if (!commits()) {
+      return client.post(path(), body(Optional.empty()), AdminAnswer.Staged.class);
+    }
+    spec().commandLine().getErr().println("commit id " + options.id());
+    accepted =
+        client.postIdempotent(
+            path(), resent -> body(Optional.of(options.tag(resent))), AdminAnswer.Accepted.class);
+    return accepted;
+  }
+
+  @Override
+  int afterAnswer(AdminClient client) {
+    if (accepted == null || !options.waits()) {
+      return ExitCodes.OK;
+    }
+    return new InForceWaiter(client, spec().commandLine().getErr()).await(accepted.version());
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ConnectionOptions.java
@@ -0,0 +1,45 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.api.NodeAddress;
+import java.util.List;
+import picocli.CommandLine.Option;
+
+/** The flags that all commands have which ask a node. */
+final class ConnectionOptions {
+  @Option(
+      names = "--node",
+      required = true,
+      split = ",",
+      paramLabel = "HOST:PORT",
+      description =
+          "A node's administration address; may be repeated. The next is tried when one does not"
+              + " answer.")
+  private List<NodeAddress> nodes;
+
+  @Option(
+      names = "--token",
+      required = true,
+      description = "The operator's token; better given by HEMLOCKBEND_TOKEN.")
+  private Token token;
+
+  @Option(
+      names = "--output",
+      defaultValue = "table",
+      paramLabel = "table|json",
+      description = "How the answer is printed; default table.")
+  private OutputForm output = OutputForm.TABLE;
+
+  @Option(
+      names = "--timeout",
+      paramLabel = "DURATION",
+      description = "The longest time to settle and to wait; default 30s.")
+  private Span timeout = new Span(30_000);
+
+  AdminClient client() {
+    return AdminClient.start(nodes, token, timeout.millis());
+  }
+
+  OutputForm output() {
+    return output;
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HemlockbendMain.java
@@ -0,0 +1,84 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.Problem;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import picocli.CommandLine;
+import picocli.CommandLine.ParseResult;
+
+/** Starts the operators' command. */
+public final class HemlockbendMain {
+  private HemlockbendMain() {}
+
+  /**
+   * Runs one command and ends the process with its exit code.
+   *
+   * @param arguments the flags
+   */
+  public static void main(String[] arguments) {
+    System.setProperty("slf4j.internal.verbosity", "ERROR");
+    System.exit(commandLine(System::getenv).execute(arguments));
+  }
+
+  /**
+   * Returns the command line.
+   *
+   * @param environment finds environment variables by name
+   */
+  public static CommandLine commandLine(UnaryOperator<String> environment) {
+    CommandLine line = new CommandLine(new HemlockbendCommand());
+    line.setCaseInsensitiveEnumValuesAllowed(true);
+    line.setDefaultValueProvider(new EnvironmentDefaults(environment));
+    Converters.register(line);
+    line.getCommandSpec().parser().collectErrors(true);
+    line.getSubcommands().values().forEach(HemlockbendMain::collectErrors);
+    line.setExecutionStrategy(HemlockbendMain::execute);
+    line.setExecutionExceptionHandler((failure, command, result) -> report(failure, command));
+    return line;
+  }
+
+  private static void collectErrors(CommandLine line) {
+    line.getCommandSpec().parser().collectErrors(true);
+    line.getSubcommands().values().forEach(HemlockbendMain::collectErrors);
+  }
+
+  /** Runs the command when nothing is wrong with its flags, else names every fault. */
+  private static int execute(ParseResult result) {
+    List<CommandLine> lines = result.asCommandLineList();
+    CommandLine last = lines.getLast();
+    List<Exception> faults =
+        lines.stream().flatMap(line -> line.getParseResult().errors().stream()).distinct().toList();
+    boolean help =
+        lines.stream().anyMatch(l -> l.isUsageHelpRequested() || l.isVersionHelpRequested());
+    if (faults.isEmpty() || help) {
+      return new CommandLine.RunLast().execute(result);
+    }
+    PrintWriter err = last.getErr();
+    faults.forEach(fault -> err.println(fault.getMessage()));
+    err.println("Nothing was sent; --help lists all flags and their environment variables.");
+    return ExitCodes.USAGE;
+  }
+
+  private static int report(Exception failure, CommandLine command) throws Exception {
+    if (!(failure instanceof ClientException known)) {
+      throw failure;
+    }
+    PrintWriter err = command.getErr();
+    err.println(known.getMessage());
+    known.problem().ifPresent(problem -> printProblem(problem, err));
+    return known.exitCode();
+  }
+
+  private static void printProblem(Problem problem, PrintWriter err) {
+    problem.faults().forEach(fault -> err.println("  " + fault.message()));
+    problem
+        .competing()
+        .forEach(
+            other ->
+                err.println(
+                    "  version %s by %s: %s"
+                        .formatted(other.version(), other.author(), other.changes())));
+    problem.commit().ifPresent(commit -> err.println("  commit id " + commit));
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HistoryCommand.java
@@ -0,0 +1,19 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.administration.AdminPaths;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Lists accepted versions. */
+@Command(name = "history", description = "List accepted versions, the newest last.")
+final class HistoryCommand extends AdminCommand {
+  @Option(names = "--limit", description = "How many, 1 to 1000; default 20.")
+  private int limit = 20;
+
+  @Override
+  Object ask(AdminClient client) {
+    String path = AdminPaths.HISTORY + "?" + AdminPaths.LIMIT + "=" + limit;
+    return client.get(path, AdminAnswer.History.class);
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/RestoreCommand.java
@@ -0,0 +1,30 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.AdminPaths;
+import io.hemlockbend.core.administration.AdminRequest;
+import io.hemlockbend.core.administration.AdminRequest.CommitTag;
+import io.hemlockbend.core.api.FailureDomain;
+import java.util.Optional;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Brings a failure domain back. */
+@Command(name = "restore", description = "Bring a failure domain back by degrees.")
+final class RestoreCommand extends DirectCommand {
+  @Parameters(paramLabel = "DOMAIN", description = "The failure domain.")
+  private FailureDomain domain;
+
+  @Option(names = "--ramp", description = "How long until full use; default 60s.")
+  private Span ramp = new Span(60_000);
+
+  @Override
+  String path() {
+    return AdminPaths.RESTORE;
+  }
+
+  @Override
+  Object body(Optional<CommitTag> tag) {
+    return new AdminRequest.Restore(domain, ramp.millis(), tag);
+  }
+}
--- /dev/null
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ShowCommand.java
@@ -0,0 +1,14 @@
+package io.hemlockbend.cli;
+
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.administration.AdminPaths;
+import picocli.CommandLine.Command;
+
+/** Shows what is in force, and where. */
+@Command(name = "show", description = "Show what is in force, on which nodes, and which lag.")
+final class ShowCommand extends AdminCommand {
+  @Override
+  Object ask(AdminClient client) {
+    return client.get(AdminPaths.SHOW, AdminAnswer.Show.class);
+  }
+}
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/package-info.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/package-info.java
@@ -1,2 +1,8 @@
-/** Package of hemlockbend-cli. */
+/**
+ * The operators' command: the administration API as picocli commands.
+ *
+ * <p>{@link io.hemlockbend.cli.HemlockbendMain} starts it. Commands end with the codes of {@link
+ * io.hemlockbend.cli.ExitCodes}; errors of this package are {@link
+ * io.hemlockbend.cli.ClientException}.
+ */
 package io.hemlockbend.cli;
