--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/LoadMain.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/LoadMain.java
@@ -3,11 +3,13 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.codec.trace.TraceRecord;
 import io.hemlockbend.testkit.trace.TraceWriter;
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -31,6 +33,9 @@
   @Option(names = "--seconds", description = "How long calls are due, seconds.")
   private long seconds = 10;
 
+  @Option(names = "--warm-up-seconds", description = "Load before, left out of the report.")
+  private long warmUpSeconds;
+
   @Option(names = "--timeout-ms", description = "Deadline of each call, milliseconds.")
   private long timeoutMillis = 2_000;
 
@@ -82,20 +87,29 @@
   }
 
   private LoadReport run() throws Exception {
-    LoadPlan plan =
-        new LoadPlan(
-            entries,
-            ratePerSecond,
-            seconds * MILLIS_PER_SECOND,
-            timeoutMillis,
-            photoBytes,
-            calls.stream().map(CallTemplate::parse).toList(),
-            seed);
     if (trace == null) {
-      return LoadTool.run(plan, call -> {});
+      return run(call -> {});
     }
     try (TraceWriter writer = new TraceWriter(trace)) {
-      return LoadTool.run(plan, writer::write);
+      return run(writer::write);
+    }
+  }
+
+  private LoadReport run(Consumer<TraceRecord.Call> sink) throws Exception {
+    if (warmUpSeconds > 0) {
+      LoadTool.run(plan(warmUpSeconds, ~seed), sink);
     }
+    return LoadTool.run(plan(seconds, seed), sink);
+  }
+
+  private LoadPlan plan(long forSeconds, long planSeed) {
+    return new LoadPlan(
+        entries,
+        ratePerSecond,
+        forSeconds * MILLIS_PER_SECOND,
+        timeoutMillis,
+        photoBytes,
+        calls.stream().map(CallTemplate::parse).toList(),
+        planSeed);
   }
 }
