Settle a brake by the configuration that holds its version as taken back

A node that took a whole configuration over the one that added a version anew saw no AddVersion and would have kept its brake. Ruled out: lifting on any usable version in a newer configuration (a step of the same move is one). A configuration that holds the version as taken back is proof enough, and it makes peers stop to spread the brake. Left: one that jumps over both must read the history rows between.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/brake/BrakeSet.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/brake/BrakeSet.java
@@ -4,6 +4,8 @@
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.message.PeerMessage.Brake;
 import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.model.VersionState;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +19,8 @@
  *
  * <p>A brake lapses in one way: a configuration newer than the one that it was set under adds the
  * version anew, which only an operator's commit does. The set remembers, for each version, the
- * newest configuration that did; older brakes on the version do not bind, however late they arrive.
+ * newest configuration that did, or that holds the version as taken back and so takes the brake's
+ * place; older brakes on the version do not bind, however late they arrive.
  */
 public final class BrakeSet {
   /** No brakes. */
@@ -76,6 +79,23 @@
     return new BrakeSet(brakes, after);
   }
 
+  /**
+   * Returns the set after a configuration was applied, without its changes: brakes on versions that
+   * it holds as taken back are settled, since the configuration itself keeps their traffic away and
+   * only a newer one that adds them anew can give it back.
+   *
+   * @param configuration the configuration now in force on this node
+   */
+  public BrakeSet afterConfiguration(Configuration configuration) {
+    SortedMap<VersionKey, ConfigurationVersion> after = new TreeMap<>(added);
+    for (VersionKey key : brakes.keySet()) {
+      if (configuration.versions().get(key) == VersionState.TAKEN_BACK) {
+        after.merge(key, configuration.version(), BrakeSet::newer);
+      }
+    }
+    return new BrakeSet(brakes, after);
+  }
+
   /** Returns whether the version must take no traffic. */
   public boolean binds(VersionKey key) {
     Brake brake = brakes.get(key);
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/brake/BrakeSetProperties.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/brake/BrakeSetProperties.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.core.brake;
 
+import static io.hemlockbend.core.rollout.Configurations.FRESH;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hemlockbend.core.api.ConfigurationVersion;
@@ -9,10 +10,13 @@
 import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.message.PeerMessage.Brake;
 import io.hemlockbend.core.model.Change;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.rollout.Configurations;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -84,4 +88,16 @@
     Brake anew = new Brake(brake.key(), new ConfigurationVersion(version + 1), "bad again");
     assertThat(lifted.with(anew).binds(brake.key())).isTrue();
   }
+
+  @Example
+  void takenBackVersionNeedsItsBrakeNoMore() {
+    Configuration moving = Configurations.moving(10);
+    BrakeSet set = BrakeSet.EMPTY.with(new Brake(FRESH, moving.version(), "fails"));
+    assertThat(set.afterConfiguration(Configurations.moving(30)).binds(FRESH)).isTrue();
+    Configuration takenBack = Configurations.with(moving, new Change.TakeBack(FRESH, null));
+    BrakeSet settled = set.afterConfiguration(takenBack);
+    assertThat(settled.binding()).isEmpty();
+    assertThat(settled.merge(set).binds(FRESH)).isFalse();
+    assertThat(settled.with(new Brake(FRESH, takenBack.version(), "bad")).binds(FRESH)).isTrue();
+  }
 }
