--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/EnvironmentDefaults.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/EnvironmentDefaults.java
@@ -1,7 +1,11 @@
 package io.hemlockbend.cli;
 
+import java.util.LinkedHashSet;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import picocli.CommandLine.IDefaultValueProvider;
 import picocli.CommandLine.Model.ArgSpec;
 import picocli.CommandLine.Model.OptionSpec;
@@ -14,6 +18,7 @@
   private static final String PREFIX = "HEMLOCKBEND_";
 
   private final UnaryOperator<String> environment;
+  private final Set<String> faults = new LinkedHashSet<>();
 
   EnvironmentDefaults(UnaryOperator<String> environment) {
     this.environment = environment;
@@ -32,6 +37,23 @@
         || !option.longestName().startsWith("--")) {
       return null;
     }
-    return environment.apply(variable(option.longestName()));
+    String variable = variable(option.longestName());
+    String value = environment.apply(variable);
+    Optional<String> fault = value == null ? Optional.empty() : fault(option, value);
+    fault.ifPresent(text -> faults.add("Invalid value for variable " + variable + ": " + text));
+    return fault.isPresent() ? null : value;
+  }
+
+  private static Optional<String> fault(OptionSpec option, String value) {
+    Class<?> type = option.isMultiValue() ? option.auxiliaryTypes()[0] : option.type();
+    return Stream.of(
+            option.isMultiValue() ? value.split(option.splitRegex()) : new String[] {value})
+        .flatMap(part -> Converters.fault(type, part).stream())
+        .findFirst();
+  }
+
+  /** Returns what was wrong with the variables; their values were left out. */
+  Set<String> faults() {
+    return faults;
   }
 }
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HemlockbendMain.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HemlockbendMain.java
@@ -2,7 +2,9 @@
 
 import io.hemlockbend.core.administration.Problem;
 import java.io.PrintWriter;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.UnaryOperator;
 import picocli.CommandLine;
 import picocli.CommandLine.ParseResult;
@@ -29,11 +31,12 @@
   public static CommandLine commandLine(UnaryOperator<String> environment) {
     CommandLine line = new CommandLine(new HemlockbendCommand());
     line.setCaseInsensitiveEnumValuesAllowed(true);
-    line.setDefaultValueProvider(new EnvironmentDefaults(environment));
+    EnvironmentDefaults defaults = new EnvironmentDefaults(environment);
+    line.setDefaultValueProvider(defaults);
     Converters.register(line);
     line.getCommandSpec().parser().collectErrors(true);
     line.getSubcommands().values().forEach(HemlockbendMain::collectErrors);
-    line.setExecutionStrategy(HemlockbendMain::execute);
+    line.setExecutionStrategy(result -> execute(result, defaults));
     line.setExecutionExceptionHandler((failure, command, result) -> report(failure, command));
     return line;
   }
@@ -44,22 +47,30 @@
   }
 
   /** Runs the command when nothing is wrong with its flags, else names every fault. */
-  private static int execute(ParseResult result) {
+  private static int execute(ParseResult result, EnvironmentDefaults defaults) {
     List<CommandLine> lines = result.asCommandLineList();
     CommandLine last = lines.getLast();
-    List<Exception> faults =
-        lines.stream().flatMap(line -> line.getParseResult().errors().stream()).distinct().toList();
+    lines.forEach(line -> checkVariables(line, defaults));
+    Set<String> faults = new LinkedHashSet<>(defaults.faults());
+    lines.forEach(line -> line.getParseResult().errors().forEach(e -> faults.add(e.getMessage())));
     boolean help =
         lines.stream().anyMatch(l -> l.isUsageHelpRequested() || l.isVersionHelpRequested());
     if (faults.isEmpty() || help) {
       return new CommandLine.RunLast().execute(result);
     }
     PrintWriter err = last.getErr();
-    faults.forEach(fault -> err.println(fault.getMessage()));
+    faults.forEach(err::println);
     err.println("Nothing was sent; --help lists all flags and their environment variables.");
     return ExitCodes.USAGE;
   }
 
+  /** Checks the variables of flags that are not given; the parser leaves them out after a fault. */
+  private static void checkVariables(CommandLine line, EnvironmentDefaults defaults) {
+    line.getCommandSpec().options().stream()
+        .filter(option -> !line.getParseResult().hasMatchedOption(option))
+        .forEach(defaults::defaultValue);
+  }
+
   private static int report(Exception failure, CommandLine command) throws Exception {
     if (!(failure instanceof ClientException known)) {
       throw failure;
--- /dev/null
+++ b/hemlockbend-cli/src/test/java/io/hemlockbend/cli/HemlockbendMainTest.java
@@ -0,0 +1,90 @@
+package io.hemlockbend.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+class HemlockbendMainTest {
+  private final StringWriter out = new StringWriter();
+  private final StringWriter err = new StringWriter();
+
+  private int run(Map<String, String> environment, String... arguments) {
+    CommandLine line = HemlockbendMain.commandLine(environment::get);
+    line.setOut(new PrintWriter(out, true));
+    line.setErr(new PrintWriter(err, true));
+    return line.execute(arguments);
+  }
+
+  @Test
+  void everyFaultOfTheFlagsIsNamedInOneGo() {
+    Map<String, String> environment = Map.of("HEMLOCKBEND_TIMEOUT", "never");
+    int code = run(environment, "move", "a b", "v2", "--deadline", "soon", "--node", "nowhere");
+    assertThat(code).isEqualTo(ExitCodes.USAGE);
+    assertThat(err.toString()).contains("'a b'", "'soon'", "'nowhere'", "'never'", "--token");
+  }
+
+  @Test
+  void flagsOutsideTheirCommandAreRefused() {
+    Map<String, String> environment =
+        Map.of("HEMLOCKBEND_NODE", "127.0.0.1:1", "HEMLOCKBEND_TOKEN", "t");
+    assertThat(run(environment, "stage", "withdraw", "tunis", "--commit"))
+        .isEqualTo(ExitCodes.USAGE);
+    assertThat(run(environment, "stage")).isEqualTo(ExitCodes.USAGE);
+    assertThat(run(environment)).isEqualTo(ExitCodes.USAGE);
+    assertThat(run(environment, "fly")).isEqualTo(ExitCodes.USAGE);
+  }
+
+  @Test
+  void helpAndCompletionNeedNoNode() {
+    assertThat(run(Map.of(), "--help")).isEqualTo(ExitCodes.OK);
+    assertThat(run(Map.of(), "move", "--help")).isEqualTo(ExitCodes.OK);
+    assertThat(run(Map.of(), "--version")).isEqualTo(ExitCodes.OK);
+    assertThat(run(Map.of(), "completion")).isEqualTo(ExitCodes.OK);
+    assertThat(out.toString()).contains("Exit codes", "--deadline", "0.1.0", "complete -F");
+  }
+
+  @Test
+  void unreachableNodesAreToldApart() throws IOException {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    Map<String, String> environment =
+        Map.of("HEMLOCKBEND_NODE", "127.0.0.1:" + port, "HEMLOCKBEND_TOKEN", "secret-token");
+    assertThat(run(environment, "show")).isEqualTo(ExitCodes.UNREACHABLE);
+    assertThat(run(environment, "commit")).isEqualTo(ExitCodes.UNREACHABLE);
+    assertThat(err.toString()).contains("no node could be reached").doesNotContain("secret-token");
+  }
+
+  @Test
+  void lostAnswerOfACommandThatIsNotIdempotentIsUnknown() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 4, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> hangUp(silent));
+      Map<String, String> environment =
+          Map.of(
+              "HEMLOCKBEND_NODE", "127.0.0.1:" + silent.getLocalPort(), "HEMLOCKBEND_TOKEN", "t");
+      assertThat(run(environment, "stage", "withdraw", "tunis")).isEqualTo(ExitCodes.UNKNOWN);
+      assertThat(run(environment, "commit", "--timeout", "500ms")).isEqualTo(ExitCodes.UNKNOWN);
+    }
+  }
+
+  /** Reads a request and closes the connection without an answer. */
+  private static void hangUp(ServerSocket socket) {
+    try {
+      while (true) {
+        try (var connection = socket.accept()) {
+          connection.getInputStream().read(new byte[512]);
+        }
+      }
+    } catch (IOException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
