--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -91,8 +91,8 @@
     if (outcome.mayStillRun()) {
       lingerUntilMillis.addLast(nowMillis + settings.lingerMillis());
     }
-    boolean slow = outcome.timed() && times.slow(permit.route(), serviceMillis);
-    limit.ended(outcome, slow, nowMillis);
+    double ratio = outcome.timed() ? times.ratio(permit.route(), serviceMillis) : 1;
+    limit.ended(outcome, ratio, nowMillis);
     return grant(nowMillis);
   }
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/ConcurrencyLimit.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/ConcurrencyLimit.java
@@ -3,26 +3,36 @@
 /**
  * How many requests the upstream may run at once now: from what a cold one bears up to its slots.
  *
- * <p>The limit rises by one when it was in full use, enough answers came at the usual speed and the
- * step time is over. It halves at an answer that tells of overload and at a broken connection. It
- * falls back to the cold slots at a new start, and when most of the latest answers were far slower
- * than usual: within its slots an upstream is not slowed by load, so that it must have fallen back
- * into a cold start. An upstream that stays slow is taken as such once its baseline has followed,
- * and the limit rises again.
+ * <p>The limit rises by one when it was in full use, enough answers came and the step time is over;
+ * while answers are slow the step time is a multiple, so that the limit rises slower than a cold
+ * upstream warms up, and an upstream that stays slow for another reason still gets its slots back.
+ *
+ * <p>The limit falls back to the cold slots at a new start, at an answer that tells of overload,
+ * and when the latest answers were far slower than usual: within its slots a warm upstream is
+ * neither overloaded nor slowed by load, so that it must have fallen back into a cold start.
+ * Slowness counts so once, until the limit rose while answers came at the usual speed. A broken
+ * connection halves the limit.
  */
 final class ConcurrencyLimit {
   private static final int RECENT_MASK = 0xFF;
   private static final int SLOW_TO_FALL_BACK = 6;
-  private static final int SLOW_TO_HOLD = 3;
   private static final int LEAST_ANSWERS_PER_STEP = 4;
+  private static final int SLOW_STEP_FACTOR = 4;
+  private static final double SLOW_RATIO = 3;
+  private static final double MEAN_WEIGHT = 1.0 / 16;
+  private static final double MEAN_TO_FALL_BACK = 2;
+  private static final double MEAN_TO_DELAY = 1.5;
+  private static final double MEAN_TO_REARM = 1.25;
 
   private final int slots;
   private final int coldSlots;
   private final long stepMillis;
   private int limit;
   private int recentSlow;
+  private double recentRatio = 1;
   private int answers;
   private boolean fullyUsed;
+  private boolean armed = true;
   private long steppedMillis;
 
   ConcurrencyLimit(AdmissionSettings settings, long nowMillis) {
@@ -41,28 +51,38 @@
     fullyUsed |= count >= limit;
   }
 
-  /** Starts over from what a cold upstream bears. */
+  /** Starts over from what a cold upstream bears; it is taken as slow until answers show better. */
   void fallBack(long nowMillis) {
+    armed = false;
+    recentRatio = Math.max(recentRatio, MEAN_TO_FALL_BACK);
     limitTo(coldSlots, nowMillis);
-    recentSlow = 0;
   }
 
-  /** Takes in how a request ended. */
-  void ended(RunOutcome outcome, boolean slow, long nowMillis) {
-    if (outcome == RunOutcome.OVERLOADED || outcome == RunOutcome.BROKEN) {
+  /**
+   * Takes in how a request ended.
+   *
+   * @param outcome how
+   * @param ratio its service time over the usual one
+   * @param nowMillis the time
+   */
+  void ended(RunOutcome outcome, double ratio, long nowMillis) {
+    if (outcome == RunOutcome.OVERLOADED) {
+      fallBack(nowMillis);
+    } else if (outcome == RunOutcome.BROKEN) {
       limitTo(Math.max(coldSlots, limit / 2), nowMillis);
     } else if (outcome.timed()) {
-      timed(outcome, slow, nowMillis);
+      timed(outcome, ratio, nowMillis);
     }
   }
 
-  private void timed(RunOutcome outcome, boolean slow, long nowMillis) {
-    recentSlow = (recentSlow << 1 | (slow ? 1 : 0)) & RECENT_MASK;
-    if (Integer.bitCount(recentSlow) >= SLOW_TO_FALL_BACK) {
+  private void timed(RunOutcome outcome, double ratio, long nowMillis) {
+    recentSlow = (recentSlow << 1 | (ratio > SLOW_RATIO ? 1 : 0)) & RECENT_MASK;
+    recentRatio += MEAN_WEIGHT * (ratio - recentRatio);
+    boolean slow =
+        Integer.bitCount(recentSlow) >= SLOW_TO_FALL_BACK || recentRatio > MEAN_TO_FALL_BACK;
+    if (armed && slow) {
       fallBack(nowMillis);
-      return;
-    }
-    if (outcome == RunOutcome.ANSWERED && !slow) {
+    } else if (outcome == RunOutcome.ANSWERED) {
       answers++;
       raise(nowMillis);
     }
@@ -70,9 +90,10 @@
 
   private void raise(long nowMillis) {
     boolean enough = answers >= Math.max(LEAST_ANSWERS_PER_STEP, limit);
-    boolean due = nowMillis - steppedMillis >= stepMillis;
-    boolean steady = Integer.bitCount(recentSlow) < SLOW_TO_HOLD;
-    if (limit < slots && fullyUsed && enough && due && steady) {
+    long pauseMillis = recentRatio < MEAN_TO_DELAY ? stepMillis : SLOW_STEP_FACTOR * stepMillis;
+    boolean due = nowMillis - steppedMillis >= pauseMillis;
+    if (limit < slots && fullyUsed && enough && due) {
+      armed |= recentRatio < MEAN_TO_REARM;
       limitTo(limit + 1, nowMillis);
     }
   }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/ServiceTimes.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/ServiceTimes.java
@@ -16,13 +16,13 @@
   private final Map<RouteName, Baseline> routes = new HashMap<>();
   private final Baseline all = new Baseline();
 
-  /** Takes a sample in and returns whether it is far above the usual time of its route. */
-  boolean slow(RouteName route, double serviceMillis) {
+  /** Takes a sample in and returns its ratio to the usual time of its route; 1 when unknown. */
+  double ratio(RouteName route, double serviceMillis) {
     Baseline baseline = baseline(route);
-    boolean slow = baseline.exceededBy(serviceMillis);
+    double ratio = baseline.ratio(serviceMillis);
     baseline.learn(serviceMillis);
     all.learn(serviceMillis);
-    return slow;
+    return ratio;
   }
 
   /** Returns the usual service time of a route in milliseconds; 0 when nothing is known. */
@@ -47,23 +47,21 @@
 
   /** An exponentially weighted mean that starts as a plain one. */
   private static final class Baseline {
-    private static final int WINDOW_SAMPLES = 64;
+    private static final int WINDOW_SAMPLES = 256;
     private static final int TRUSTED_SAMPLES = 16;
-    private static final double SLOW_RATIO = 3;
-    private static final double CLAMP_RATIO = 4;
-    private static final double SLOW_MARGIN_MILLIS = 2;
+    private static final double MAX_RATIO = 4;
+    private static final double NOISE_MILLIS = 2;
 
     private double mean;
     private int samples;
 
-    boolean exceededBy(double millis) {
-      return samples >= TRUSTED_SAMPLES && millis > SLOW_RATIO * mean + SLOW_MARGIN_MILLIS;
+    double ratio(double millis) {
+      return samples < TRUSTED_SAMPLES ? 1 : Math.min(MAX_RATIO, millis / (mean + NOISE_MILLIS));
     }
 
     void learn(double millis) {
-      boolean trusted = samples >= TRUSTED_SAMPLES;
-      double limit = CLAMP_RATIO * mean + SLOW_MARGIN_MILLIS;
-      double sample = trusted ? Math.min(millis, limit) : millis;
+      double most = MAX_RATIO * (mean + NOISE_MILLIS);
+      double sample = samples < TRUSTED_SAMPLES ? millis : Math.min(millis, most);
       samples = Math.min(samples + 1, WINDOW_SAMPLES);
       mean += (sample - mean) / samples;
     }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/EntryModel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/EntryModel.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 
 /** The node that a caller sends to: chooses an upstream, tries it, and tries again or tells. */
-final class EntryModel {
+final class EntryModel implements Entry {
   private static final long HOP_MILLIS = 1;
   private static final long TRY_MILLIS = 500;
   private static final long CONNECT_TIMEOUT_MILLIS = 100;
@@ -20,6 +20,7 @@
   private final Mesh mesh;
   private final RetryBudget budget;
   private final Map<UpstreamId, Boolean> takesWork = new HashMap<>();
+  private final Map<UpstreamId, Integer> limits = new HashMap<>();
   private final Map<UpstreamId, List<Try>> open = new HashMap<>();
   private UpstreamId silentTo;
   private boolean alive = true;
@@ -35,7 +36,8 @@
     }
   }
 
-  boolean alive() {
+  @Override
+  public boolean alive() {
     return alive;
   }
 
@@ -58,7 +60,8 @@
     }
   }
 
-  void receive(Send send) {
+  @Override
+  public void receive(Send send) {
     budget.called();
     tryOnce(send);
   }
@@ -69,6 +72,7 @@
       mesh.lateReply(attempt, reply);
       return;
     }
+    limits.put(attempt.node.id(), attempt.node.currentLimit());
     switch (reply) {
       case Try.Reply.Part _ -> attempt.partForwarded = true;
       case Try.Reply.Whole(int ofRequest) -> {
@@ -157,7 +161,12 @@
     }
     NodeModel one = candidates.get(mesh.random().nextInt(candidates.size()));
     NodeModel other = candidates.get(mesh.random().nextInt(candidates.size()));
-    return openTo(one.id()).size() <= openTo(other.id()).size() ? one : other;
+    return load(one) <= load(other) ? one : other;
+  }
+
+  /** Returns what this entry has open to a node, over the limit that the node last reported. */
+  private double load(NodeModel node) {
+    return (openTo(node.id()).size() + 1.0) / limits.getOrDefault(node.id(), 1);
   }
 
   private void ended(Try attempt, AttemptEnd end) {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Mesh.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Mesh.java
@@ -25,6 +25,7 @@
   private final EventQueue queue = new EventQueue();
   private final List<NodeModel> nodes = new ArrayList<>();
   private final List<EntryModel> entries = new ArrayList<>();
+  private final List<Entry> fronts = new ArrayList<>();
   private final List<TraceEvent> trace = new ArrayList<>();
   private final Random random;
   private final Sizes sizes;
@@ -45,6 +46,7 @@
     }
     for (int i = 0; i < sizes.entries(); i++) {
       entries.add(new EntryModel(this, nodes));
+      fronts.add(policies.entry(this, entries.getLast()));
     }
     this.callers = new Callers(this);
   }
@@ -81,6 +83,11 @@
     return callers;
   }
 
+  /** Returns what callers send to. */
+  Entry front(int number) {
+    return fronts.get(number);
+  }
+
   List<TraceEvent> trace() {
     return trace;
   }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
@@ -61,6 +61,10 @@
     return upstream.id;
   }
 
+  int currentLimit() {
+    return admission.currentLimit();
+  }
+
   boolean alive() {
     return alive;
   }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Policies.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Policies.java
@@ -14,6 +14,11 @@
   /** The core's decisions. */
   Policies CORE = new Policies() {};
 
+  /** Returns what callers send to. */
+  default Entry entry(Mesh mesh, EntryModel entry) {
+    return entry;
+  }
+
   /** Returns the bounds of admission beside an upstream with this many slots. */
   default AdmissionSettings admission(int slots) {
     return new AdmissionSettings(slots, 1, slots, 100, 250);
