Bound join answers and pending news, expire crash reports, survey versions

A node answers at most 200 joins a second. TokenBucket, shared by both packages, is in core.api.

Crash reports end with their time. survey() asks the members that are not known to have a version, for operators who wait until it is everywhere.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Distributor.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/Distributor.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.TokenBucket;
 import io.hemlockbend.core.message.Outbound;
 import io.hemlockbend.core.message.PeerMessage;
 import io.hemlockbend.core.message.PeerMessage.Ack;
@@ -34,6 +35,9 @@
  * out the effects that each call returns, in their order.
  */
 public final class Distributor {
+  private static final int BODY_BURST = 4;
+  private static final long BODY_REFILL_MILLIS = 250;
+
   private final DistributionSettings settings;
   private final NodeId self;
   private final FailureDomain domain;
@@ -44,7 +48,7 @@
   private final Acquisition acquisition;
   private final DeltaHistory history;
   private final HeldConfiguration held;
-  private final BodyBudget bodies = new BodyBudget();
+  private final TokenBucket bodies = new TokenBucket(BODY_BURST, BODY_REFILL_MILLIS);
   private List<DistributionEffect> effects = new ArrayList<>();
 
   /**
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/GossipQueue.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/GossipQueue.java
@@ -8,11 +8,15 @@
 
 /**
  * News to piggyback on messages: each item goes out a bounded number of times, the freshest first.
+ * When there is more than fits, as after the start of a herd, what was sent already goes; the
+ * comparison of views mends what that loses.
  *
  * @param <K> what identifies an item; a newer item replaces the one of the same key
  * @param <V> the item
  */
 final class GossipQueue<K, V> {
+  private static final int PENDING_ITEMS = 128;
+
   private record Pending<V>(V item, int sent) {}
 
   private final LinkedHashMap<K, Pending<V>> pending = new LinkedHashMap<>();
@@ -20,6 +24,9 @@
   /** Adds an item, before all others. */
   void offer(K key, V item) {
     pending.putFirst(key, new Pending<>(item, 0));
+    if (pending.size() > PENDING_ITEMS) {
+      pending.pollLastEntry();
+    }
   }
 
   boolean isEmpty() {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
@@ -6,6 +6,7 @@
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.TokenBucket;
 import io.hemlockbend.core.message.Outbound;
 import io.hemlockbend.core.message.PeerMessage;
 import io.hemlockbend.core.message.PeerMessage.Ack;
@@ -30,12 +31,17 @@
  * may be lost, late, doubled or out of order.
  */
 public final class Membership {
+  private static final int JOIN_ANSWERS_BURST = 50;
+  private static final long JOIN_ANSWERS_REFILL_MILLIS = 5;
+
   private final MemberView view;
   private final MemberTable table;
   private final NewsComposer composer;
   private final ProbeLedger probes = new ProbeLedger();
   private final Joiner joiner;
   private final PeriodicDuties duties;
+  private final TokenBucket joinAnswers =
+      new TokenBucket(JOIN_ANSWERS_BURST, JOIN_ANSWERS_REFILL_MILLIS);
 
   /**
    * Makes the state of a node that knows no other.
@@ -91,7 +97,7 @@
    * @return the messages to send
    */
   public List<Outbound> join(List<NodeAddress> seeds, long nowMillis) {
-    composer.introduceUntil(nowMillis + MembershipSettings.INTRODUCTION_MILLIS);
+    duties.introduceUntil(nowMillis + MembershipSettings.INTRODUCTION_MILLIS);
     joiner.start(seeds, self().control(), nowMillis);
     return tick(nowMillis);
   }
@@ -114,6 +120,19 @@
     view.endpoint(endpoint);
   }
 
+  /**
+   * Asks live members that are not known to have a version in force, so that an operator who waits
+   * for it sees soon where it is; their answers raise what {@link #members} says.
+   *
+   * @param wanted the version
+   * @param max how many members to ask at most; each answer takes some hundred bytes
+   * @param nowMillis the time
+   * @return the messages to send
+   */
+  public List<Outbound> survey(ConfigurationVersion wanted, int max, long nowMillis) {
+    return duties.survey(wanted, max, nowMillis);
+  }
+
   /** Notes which configuration this node has in force. */
   public void applied(VersionMark mark) {
     view.self().applied(mark.version());
@@ -184,7 +203,7 @@
 
   private List<Outbound> receivePing(Ping ping, long nowMillis) {
     view.learnAll(ping.news(), nowMillis);
-    composer.receive(ping.brakes(), ping.suspicions());
+    composer.receive(ping.brakes(), ping.suspicions(), nowMillis);
     view.heard(ping.sender(), ping.mark());
     if (ping.sequence() == NewsComposer.NO_ANSWER) {
       return List.of();
@@ -201,7 +220,7 @@
 
   private List<Outbound> receiveAck(Ack ack, long nowMillis) {
     view.learnAll(ack.news(), nowMillis);
-    composer.receive(ack.brakes(), ack.suspicions());
+    composer.receive(ack.brakes(), ack.suspicions(), nowMillis);
     view.heard(ack.sender(), ack.mark());
     if (probes.answered(ack.sequence(), ack.sender())) {
       view.fence().answered(ack.sender(), ack.mark(), table.liveCount());
@@ -245,6 +264,9 @@
   }
 
   private List<Outbound> receiveJoin(Join join, long nowMillis) {
+    if (!joinAnswers.take(nowMillis)) {
+      return List.of();
+    }
     List<Member> sample = new ArrayList<>();
     sample.add(self());
     table.find(join.sender()).ifPresent(sample::add);
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
@@ -47,6 +47,9 @@
   /** While the view still fills, comparisons come this often. */
   static final long CATCH_UP_INTERVAL_MILLIS = 250;
 
+  /** A new node compares views this often while it is introduced. */
+  static final long INTRODUCTION_INTERVAL_MILLIS = 1_000;
+
   /** For how long a new node adds its own claim to each message. */
   static final long INTRODUCTION_MILLIS = 30_000;
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/NewsComposer.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/NewsComposer.java
@@ -52,9 +52,19 @@
     return !news.isEmpty() || brakes.hasFresh() || suspicions.hasFresh();
   }
 
-  void receive(List<Brake> heardBrakes, List<Suspicion> heardSuspicions) {
+  void receive(List<Brake> heardBrakes, List<Suspicion> heardSuspicions, long nowMillis) {
     brakes.receive(heardBrakes);
-    suspicions.receive(heardSuspicions);
+    suspicions.receive(
+        heardSuspicions.stream().filter(report -> counts(report, nowMillis)).toList());
+  }
+
+  /** Forgets the crash reports whose time has passed. */
+  void forgetExpired(long nowMillis) {
+    suspicions.retain(report -> counts(report, nowMillis));
+  }
+
+  private static boolean counts(Suspicion report, long nowMillis) {
+    return report.untilMillis() > nowMillis;
   }
 
   /**
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/PeriodicDuties.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/PeriodicDuties.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.core.membership;
 
+import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
@@ -27,6 +28,7 @@
   private long nextGossipMillis;
   private long nextReconcileMillis;
   private long nextRetryMillis;
+  private long introducedMillis = Long.MIN_VALUE;
 
   PeriodicDuties(
       MembershipSettings settings,
@@ -58,6 +60,12 @@
     return out;
   }
 
+  /** Until then, makes this node known and compares views often. */
+  void introduceUntil(long millis) {
+    introducedMillis = millis;
+    composer.introduceUntil(millis);
+  }
+
   /** Compares views soon, because much of the last answer was new. */
   void reconcileSoon(long nowMillis) {
     long soonMillis = nowMillis + jittered(MembershipSettings.CATCH_UP_INTERVAL_MILLIS);
@@ -68,6 +76,14 @@
     return ping(peer, NewsComposer.NO_ANSWER, nowMillis);
   }
 
+  List<Outbound> survey(ConfigurationVersion wanted, int max, long nowMillis) {
+    return table.randomLive(table.liveCount()).stream()
+        .filter(member -> wanted.newerThan(member.applied()))
+        .limit(max)
+        .map(member -> ping(member, probes.nextSequence(), nowMillis))
+        .toList();
+  }
+
   private Outbound ping(Member peer, long sequence, long nowMillis) {
     return new Outbound(peer.control(), composer.ping(peer, sequence, nowMillis, view.mark()));
   }
@@ -136,7 +152,12 @@
     if (nowMillis < nextReconcileMillis) {
       return;
     }
-    nextReconcileMillis = nowMillis + jittered(settings.reconcileIntervalMillis());
+    boolean introducing = nowMillis < introducedMillis;
+    long intervalMillis =
+        introducing
+            ? MembershipSettings.INTRODUCTION_INTERVAL_MILLIS
+            : settings.reconcileIntervalMillis();
+    nextReconcileMillis = nowMillis + jittered(intervalMillis);
     Reconcile message = new Reconcile(view.id(), table.bucketHashes());
     for (Member peer : table.randomLive(1)) {
       out.add(new Outbound(peer.control(), message));
@@ -148,6 +169,7 @@
       return;
     }
     nextRetryMillis = nowMillis + jittered(MembershipSettings.RETRY_GONE_MILLIS);
+    composer.forgetExpired(nowMillis);
     table.randomDead().ifPresent(dead -> out.add(ping(dead, probes.nextSequence(), nowMillis)));
     for (NodeAddress seed : joiner.anySeed()) {
       if (!table.liveAt(seed)) {
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/distribution/DistributorTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/distribution/DistributorTest.java
@@ -103,6 +103,9 @@
     }
     assertThat(only(distributor.currentRead(row(2), now), Apply.class)).isEmpty();
     assertThat(distributor.configuration()).isEqualTo(configuration(3));
+    assertThat(sent(distributor.receive(new Pull(id(4), VersionMark.NONE), now), Body.class))
+        .as("what it gives to others")
+        .containsExactly(new Body(id(0), mark(3), configuration(3)));
   }
 
   @Test
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
@@ -8,6 +8,7 @@
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.RequestId;
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
@@ -17,6 +18,7 @@
 import io.hemlockbend.core.message.PeerMessage.Brake;
 import io.hemlockbend.core.message.PeerMessage.Members;
 import io.hemlockbend.core.message.PeerMessage.Ping;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.message.PeerMessage.VersionMark;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -34,6 +36,7 @@
 
   private final Map<NodeAddress, Membership> up = new HashMap<>();
   private long now = 1_000;
+  private boolean cut;
 
   private Membership start(int index) {
     Membership node =
@@ -44,6 +47,9 @@
   }
 
   private void deliver(List<Outbound> messages) {
+    if (cut) {
+      return;
+    }
     for (Outbound outbound : messages) {
       Membership to = up.get(outbound.to());
       if (to != null) {
@@ -104,17 +110,20 @@
   }
 
   @Test
-  void partsHealAfterAnHour() {
-    Membership first = start(1);
+  void partsHealAfterAnHourWithoutAnySeed() {
+    Membership seed = start(1);
     Membership second = start(2);
+    Membership third = start(3);
     run(3_000);
-    up.remove(second.self().control());
+    up.remove(seed.self().control());
+    cut = true;
     run(3_600_000);
-    assertThat(seen(first, 2)).isEqualTo(MemberStatus.DEAD);
-    up.put(second.self().control(), second);
-    run(10_000);
-    assertThat(seen(first, 2)).isEqualTo(MemberStatus.ALIVE);
-    assertThat(seen(second, 1)).isEqualTo(MemberStatus.ALIVE);
+    assertThat(seen(second, 3)).isEqualTo(MemberStatus.DEAD);
+    assertThat(seen(third, 2)).isEqualTo(MemberStatus.DEAD);
+    cut = false;
+    run(15_000);
+    assertThat(seen(second, 3)).isEqualTo(MemberStatus.ALIVE);
+    assertThat(seen(third, 2)).isEqualTo(MemberStatus.ALIVE);
   }
 
   @Test
@@ -141,8 +150,12 @@
     Membership first = start(1);
     start(2);
     run(3_000);
+    while (first.tick(now).stream().noneMatch(out -> out.message() instanceof Ping)) {
+      now += 100;
+    }
     now += 60_000;
-    deliver(first.tick(now));
+    first.tick(now);
+    first.tick(now + 100);
     assertThat(seen(first, 2)).isEqualTo(MemberStatus.ALIVE);
   }
 
@@ -174,6 +187,36 @@
     assertThat(start(3).receivedBrakes()).containsExactly(brake);
   }
 
+  @Test
+  void expiredCrashReportIsForgottenAndNotTakenInAgain() {
+    Membership first = start(1);
+    Membership second = start(2);
+    run(3_000);
+    Suspicion report = new Suspicion(new RequestId("r"), List.of(), now + 5_000);
+    first.spread(report);
+    run(1_000);
+    assertThat(second.receivedSuspicions()).containsExactly(report);
+    run(10_000);
+    PeerMessage late =
+        new Ping(first.self().id(), 0, MARK_1, List.of(), List.of(), List.of(report));
+    second.receive(late, now);
+    assertThat(second.receivedSuspicions()).isEmpty();
+  }
+
+  @Test
+  void surveyAsksOnlyThoseThatLag() {
+    Membership first = start(1);
+    Membership second = start(2);
+    Membership third = start(3);
+    List.of(first, second, third).forEach(node -> node.applied(MARK_1));
+    run(10_000);
+    second.applied(MARK_2);
+    deliver(first.survey(MARK_2.version(), 10, now));
+    assertThat(first.survey(MARK_2.version(), 10, now))
+        .extracting(Outbound::to)
+        .containsExactly(third.self().control());
+  }
+
   @Test
   void messagesStayBoundedWhateverHappens() {
     Membership node = start(1);
