Measure convergence, bytes, reads and processor time of the mesh

Bytes are those of the MessagePack frames; processor time is that of the thread within the core's calls.

--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRow.java
@@ -0,0 +1,88 @@
+package io.hemlockbend.testkit.schedule;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * What one way of distribution measured at one size.
+ *
+ * @param way the name of the way
+ * @param nodes how many nodes
+ * @param phase idle or changing
+ * @param convergence milliseconds from acceptance to in force, of each node and change, sorted
+ * @param missing how many pairs of node and change never came into force
+ * @param bytesPerNodeSecond bytes sent by a node a second; as many are received
+ * @param readsPerSecond reads of the whole mesh
+ * @param writesPerSecond writes of the whole mesh
+ * @param corePercent share of one processor for the core's calls, for each node
+ */
+record BenchRow(
+    String way,
+    int nodes,
+    String phase,
+    List<Long> convergence,
+    long missing,
+    double bytesPerNodeSecond,
+    double readsPerSecond,
+    double writesPerSecond,
+    double corePercent) {
+  static final String CSV_HEADER =
+      "way,nodes,phase,p50_ms,p99_ms,max_ms,samples,missing,"
+          + "bytes_out_per_node_s,reads_per_s,writes_per_s,core_percent";
+  static final String TABLE_HEADER =
+      "| nodes | way | phase | p50 ms | p99 ms | max ms | samples | missing | bytes out/node/s |"
+          + " reads/s | writes/s | core % |\n"
+          + "|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+  private long quantile(double share) {
+    if (convergence.isEmpty()) {
+      return -1;
+    }
+    int index = (int) Math.ceil(share * convergence.size()) - 1;
+    return convergence.get(Math.max(0, index));
+  }
+
+  String csv() {
+    return String.format(
+        Locale.ROOT,
+        "%s,%d,%s,%d,%d,%d,%d,%d,%.1f,%.2f,%.3f,%.4f",
+        way,
+        nodes,
+        phase,
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1),
+        convergence.size(),
+        missing,
+        bytesPerNodeSecond,
+        readsPerSecond,
+        writesPerSecond,
+        corePercent);
+  }
+
+  String table() {
+    String[] fields = csv().split(",");
+    String way = fields[0];
+    fields[0] = fields[1];
+    fields[1] = way;
+    return "| " + String.join(" | ", fields).replace("-1", "-") + " |";
+  }
+
+  /** Returns how this way compares with another, as ratios of this to the other. */
+  String ratio(BenchRow other) {
+    String costs =
+        String.format(
+            Locale.ROOT,
+            "%d nodes, %s: bytes %.3f, reads %.4f",
+            nodes,
+            phase,
+            bytesPerNodeSecond / other.bytesPerNodeSecond(),
+            readsPerSecond / other.readsPerSecond());
+    if (convergence.isEmpty()) {
+      return costs;
+    }
+    double slowest = (double) quantile(0.99) / other.quantile(0.99);
+    double core = corePercent / other.corePercent();
+    return costs + String.format(Locale.ROOT, ", p99 %.3f, core %.2f", slowest, core);
+  }
+}
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRun.java
@@ -0,0 +1,149 @@
+package io.hemlockbend.testkit.schedule;
+
+import io.hemlockbend.core.api.ConfigurationVersion;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** One size of the measurement: start, settle, an idle time, and a time with changes. */
+final class BenchRun {
+  static final String MESH = "mesh";
+  static final String BASELINE = "polling";
+
+  private static final long SETTLE_MILLIS = 60_000;
+  private static final long CHANGES_A_DAY = 7_000;
+  private static final long DAY_MILLIS = 86_400_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double PERCENT = 100;
+
+  private record Snapshot(long bytes, long reads, long writes, long nanos, long atMillis) {}
+
+  private final int size;
+  private final int changes;
+  private final long idleMillis;
+  private final ScheduledMesh mesh;
+  private final PollingBaseline baseline;
+  private final SplittableRandom random;
+
+  BenchRun(ScheduledMesh.Options options, int changes, long idleMillis) {
+    this.size = options.layout().nodes();
+    this.changes = changes;
+    this.idleMillis = idleMillis;
+    this.mesh = new ScheduledMesh(options, (node, effects) -> effects, (step, node) -> {});
+    this.baseline = new PollingBaseline(mesh.queue(), mesh.table(), mesh.digester());
+    this.random = new SplittableRandom(options.seed());
+    mesh.nodes().forEach(mesh::start);
+  }
+
+  /** Starts all nodes at once and returns, in words, how they came up. */
+  String startHerd() {
+    EventQueue queue = mesh.queue();
+    long mostReads = 0;
+    long serveMillis = -1;
+    long knowMillis = -1;
+    while (queue.millis() < SETTLE_MILLIS) {
+      long before = mesh.table().reads();
+      queue.runUntilMillis(queue.millis() + (long) MILLIS_PER_SECOND);
+      mostReads = Math.max(mostReads, mesh.table().reads() - before);
+      serveMillis = serveMillis < 0 && allServe() ? queue.millis() : serveMillis;
+      knowMillis = knowMillis < 0 && allKnowAll() ? queue.millis() : knowMillis;
+      if (queue.millis() == SETTLE_MILLIS / 2) {
+        mesh.commit();
+        baseline.start(mesh.nodes(), random);
+      }
+    }
+    if (serveMillis < 0 || knowMillis < 0) {
+      throw new IllegalStateException("not settled after " + SETTLE_MILLIS + " ms");
+    }
+    return String.format(
+        "%n%d nodes started at once: all serve within %d ms, all know all within %d ms, at most %d"
+            + " reads in a second%n",
+        size, serveMillis, knowMillis, mostReads);
+  }
+
+  private boolean allServe() {
+    return mesh.nodes().stream().allMatch(MeshNode::serves);
+  }
+
+  private boolean allKnowAll() {
+    return mesh.nodes().stream().allMatch(node -> node.membership().members().size() == size);
+  }
+
+  /** Measures an idle time and a time with changes. */
+  List<BenchRow> measure() {
+    EventQueue queue = mesh.queue();
+    mesh.meter().countBytes();
+    Snapshot settled = ofMesh();
+    Snapshot settledBaseline = ofBaseline();
+    queue.runUntilMillis(SETTLE_MILLIS + idleMillis);
+    Snapshot idle = ofMesh();
+    Snapshot idleBaseline = ofBaseline();
+    int before = mesh.log().accepted().size();
+    change();
+    List<BenchRow> rows = new ArrayList<>();
+    rows.add(row(MESH, "idle", settled, idle, List.of(), 0));
+    rows.add(row(BASELINE, "idle", settledBaseline, idleBaseline, List.of(), 0));
+    rows.add(changing(MESH, mesh.log(), idle, ofMesh(), before));
+    rows.add(changing(BASELINE, baseline.log(), idleBaseline, ofBaseline(), before));
+    return rows;
+  }
+
+  private void change() {
+    EventQueue queue = mesh.queue();
+    for (int change = 0; change < changes; change++) {
+      mesh.commit();
+      queue.runUntilMillis(queue.millis() + DAY_MILLIS / CHANGES_A_DAY);
+    }
+  }
+
+  private BenchRow changing(String way, RunLog log, Snapshot from, Snapshot to, int before) {
+    Map<ConfigurationVersion, Long> accepted = new HashMap<>();
+    mesh.log().accepted().stream()
+        .skip(before)
+        .forEach(row -> accepted.put(row.mark().version(), row.atMillis()));
+    List<Long> convergence = new ArrayList<>();
+    for (RunLog.Applied applied : log.applied()) {
+      Long at = accepted.get(applied.mark().version());
+      if (at != null) {
+        convergence.add(applied.atMillis() - at);
+      }
+    }
+    convergence.sort(null);
+    long missing = (long) changes * size - convergence.size();
+    return row(way, "changing", from, to, convergence, missing);
+  }
+
+  private BenchRow row(
+      String way, String phase, Snapshot from, Snapshot to, List<Long> convergence, long missing) {
+    double seconds = (to.atMillis() - from.atMillis()) / MILLIS_PER_SECOND;
+    double nodeSeconds = seconds * size;
+    return new BenchRow(
+        way,
+        size,
+        phase,
+        convergence,
+        missing,
+        (to.bytes() - from.bytes()) / nodeSeconds,
+        (to.reads() - from.reads()) / seconds,
+        (to.writes() - from.writes()) / seconds,
+        PERCENT * (to.nanos() - from.nanos()) / NANOS_PER_SECOND / nodeSeconds);
+  }
+
+  private Snapshot ofMesh() {
+    MeshMeter meter = mesh.meter();
+    return new Snapshot(
+        meter.bytes(),
+        mesh.table().reads(),
+        mesh.table().writes(),
+        meter.coreNanos(),
+        mesh.queue().millis());
+  }
+
+  private Snapshot ofBaseline() {
+    return new Snapshot(
+        baseline.bytes(), baseline.reads(), 0, baseline.nanos(), mesh.queue().millis());
+  }
+}
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/FaultMatrix.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/FaultMatrix.java
@@ -1,6 +1,5 @@
 package io.hemlockbend.testkit.schedule;
 
-import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.distribution.DistributionEffect;
 import io.hemlockbend.core.distribution.DistributionSettings;
 import java.util.ArrayList;
@@ -55,7 +54,7 @@
     this.waiting = new ArrayList<>(strikes);
     this.mesh =
         new ScheduledMesh(
-            new ScheduledMesh.Options(LAYOUT, ROUGH, settings, SERVICES, false, seed),
+            new ScheduledMesh.Options(LAYOUT, ROUGH, settings, SERVICES, true, seed),
             effects,
             this::stepped);
   }
@@ -77,14 +76,13 @@
   private Result run() {
     EventQueue queue = mesh.queue();
     MeshNode joiner = mesh.nodes().getLast();
-    MeshNode leaver = mesh.nodes().get(LAYOUT.nodes() / 2);
     mesh.nodes().stream().filter(node -> node != joiner).forEach(mesh::start);
     queue.runUntilMillis(SETTLED_MILLIS / 2);
     commitRegularly();
     queue.runUntilMillis(SETTLED_MILLIS);
     armed = true;
     queue.afterMillis(500, () -> mesh.start(joiner));
-    queue.afterMillis(4_000, () -> mesh.leave(leaver));
+    queue.afterMillis(4_000, () -> mesh.leave(mesh.nodes().get(LAYOUT.nodes() / 2)));
     queue.runUntilMillis(FAULTS_END_MILLIS);
     armed = false;
     mesh.endFaults();
@@ -137,7 +135,7 @@
         found.add("Unfinished: " + node.id() + " does not serve at the end");
       }
     }
-    if (mesh.table().current().map(row -> row.version()).equals(ConfigurationVersion.NONE)) {
+    if (mesh.table().current().isEmpty()) {
       found.add("Unfinished: nothing was accepted");
     }
     return found;
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshMeter.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshMeter.java
@@ -2,21 +2,25 @@
 
 import io.hemlockbend.codec.MessagePackCodec;
 import io.hemlockbend.core.message.Outbound;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.function.Supplier;
 
-/** Measures what a run costs: bytes as encoded for the wire, and time spent in the core. */
+/** Measures what a run costs: bytes as encoded for the wire, and processor time of the core. */
 final class MeshMeter {
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
   private static final int FRAME_HEADER_BYTES = 4;
 
   private final MessagePackCodec codec = new MessagePackCodec();
-  private final boolean countsBytes;
+  private boolean countsBytes;
   private long bytes;
   private long messages;
   private long coreNanos;
   private long refusals;
 
-  MeshMeter(boolean countsBytes) {
-    this.countsBytes = countsBytes;
+  /** Starts to encode messages to count their bytes. */
+  void countBytes() {
+    countsBytes = true;
   }
 
   void sent(Outbound outbound) {
@@ -27,9 +31,9 @@
   }
 
   <T> T timed(Supplier<T> call) {
-    long from = System.nanoTime();
+    long from = THREADS.getCurrentThreadCpuTime();
     T result = call.get();
-    coreNanos += System.nanoTime() - from;
+    coreNanos += THREADS.getCurrentThreadCpuTime() - from;
     return result;
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
@@ -220,7 +220,7 @@
     if (distributor.ready() && !served) {
       served = true;
       if (distributor.mark().equals(VersionMark.NONE)) {
-        environment.log().applied(id(), VersionMark.NONE, Configuration.EMPTY, now());
+        environment.log().noteApplied(id(), VersionMark.NONE, Configuration.EMPTY, now());
       }
     }
   }
@@ -258,7 +258,7 @@
   }
 
   private void apply(DistributionEffect.Apply apply) {
-    environment.log().applied(id(), apply.mark(), apply.configuration(), now());
+    environment.log().noteApplied(id(), apply.mark(), apply.configuration(), now());
     membership.applied(apply.mark());
     environment.step(Step.APPLY, this);
   }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshTable.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshTable.java
@@ -55,6 +55,10 @@
     return current;
   }
 
+  Configuration object(Digest digest) {
+    return objects.get(digest);
+  }
+
   long reads() {
     return reads;
   }
@@ -111,7 +115,7 @@
         new RowValue.History(
             mark.version(), mark.digest(), commit, "operator", queue.millis(), changes));
     objects.put(mark.digest(), configuration);
-    log.accepted(mark, queue.millis());
+    log.noteAccepted(mark, queue.millis());
     return true;
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/RunLog.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/RunLog.java
@@ -40,24 +40,32 @@
   private final List<Accepted> accepted = new ArrayList<>();
   private final List<Applied> applied = new ArrayList<>();
   private final List<Serving> serving = new ArrayList<>();
+  private final boolean keepsConfigurations;
   private long faultsEndedMillis;
 
-  /** Makes an empty log. */
-  public RunLog() {}
+  /**
+   * Makes an empty log.
+   *
+   * @param keepsConfigurations whether it keeps what was applied, or its number and digest only
+   */
+  public RunLog(boolean keepsConfigurations) {
+    this.keepsConfigurations = keepsConfigurations;
+  }
 
-  void accepted(VersionMark mark, long atMillis) {
+  void noteAccepted(VersionMark mark, long atMillis) {
     accepted.add(new Accepted(mark, atMillis));
   }
 
-  void applied(NodeId node, VersionMark mark, Configuration configuration, long atMillis) {
-    applied.add(new Applied(node, mark, configuration, atMillis));
+  void noteApplied(NodeId node, VersionMark mark, Configuration configuration, long atMillis) {
+    Configuration kept = keepsConfigurations ? configuration : Configuration.EMPTY;
+    applied.add(new Applied(node, mark, kept, atMillis));
   }
 
-  void serving(NodeId node, VersionMark mark, long atMillis) {
+  void noteServing(NodeId node, VersionMark mark, long atMillis) {
     serving.add(new Serving(node, mark, atMillis));
   }
 
-  void faultsEnded(long atMillis) {
+  void noteFaultsEnded(long atMillis) {
     faultsEndedMillis = atMillis;
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/ScheduledMesh.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/ScheduledMesh.java
@@ -32,7 +32,7 @@
    * @param conditions how messages fare
    * @param settings bounds of the distribution
    * @param services how many services the configuration holds
-   * @param countsBytes whether messages are encoded to count their bytes
+   * @param keepsConfigurations whether the log keeps what nodes apply
    * @param seed draws everything
    */
   record Options(
@@ -40,12 +40,12 @@
       MessageChannel.Conditions conditions,
       DistributionSettings settings,
       int services,
-      boolean countsBytes,
+      boolean keepsConfigurations,
       long seed) {}
 
   private final EventQueue queue = new EventQueue();
-  private final RunLog log = new RunLog();
-  private final MeshTable table = new MeshTable(queue, log);
+  private final RunLog log;
+  private final MeshTable table;
   private final ConfigurationDigester digester = new JsonDigester(new JsonCodec());
   private final RandomGenerator random;
   private final MessageChannel channel;
@@ -59,8 +59,10 @@
       BiFunction<MeshNode, List<DistributionEffect>, List<DistributionEffect>> effects,
       BiConsumer<Step, MeshNode> steps) {
     random = new SplittableRandom(options.seed());
+    log = new RunLog(options.keepsConfigurations());
+    table = new MeshTable(queue, log);
     channel = new MessageChannel(queue, random, options.conditions());
-    meter = new MeshMeter(options.countsBytes());
+    meter = new MeshMeter();
     changes = new ChangeMaker(options.services());
     MeshEnvironment environment =
         new MeshEnvironment(
@@ -136,19 +138,23 @@
 
   /** Lets a fault strike a node. */
   void strike(Fault fault, MeshNode node) {
-    switch (fault) {
-      case KILL -> node.kill();
-      case FREEZE -> {
-        node.freeze();
-        queue.afterMillis(FREEZE_MILLIS, node::thaw);
-      }
-      case CUT -> channel.cut(domainOf(node));
-      case PLATFORM_DOWN -> table.state(MeshTable.State.DOWN);
-      case PLATFORM_SLOW -> table.state(MeshTable.State.SLOW);
-      case ANSWER_LOST -> table.state(MeshTable.State.ANSWERS_LOST);
-      case RESTART -> restart(List.of(node));
-      case HERD_RESTART -> restart(nodes);
-    }
+    Runnable effect =
+        switch (fault) {
+          case KILL -> node::kill;
+          case FREEZE -> () -> freeze(node);
+          case CUT -> () -> channel.cut(domainOf(node));
+          case PLATFORM_DOWN -> () -> table.state(MeshTable.State.DOWN);
+          case PLATFORM_SLOW -> () -> table.state(MeshTable.State.SLOW);
+          case ANSWER_LOST -> () -> table.state(MeshTable.State.ANSWERS_LOST);
+          case RESTART -> () -> restart(List.of(node));
+          case HERD_RESTART -> () -> restart(nodes);
+        };
+    effect.run();
+  }
+
+  private void freeze(MeshNode node) {
+    node.freeze();
+    queue.afterMillis(FREEZE_MILLIS, node::thaw);
   }
 
   private void restart(List<MeshNode> struck) {
@@ -175,14 +181,14 @@
     table.state(MeshTable.State.UP);
     nodes.forEach(MeshNode::thaw);
     nodes.stream().filter(node -> !node.up()).forEach(this::startUnlessLeft);
-    log.faultsEnded(queue.millis());
+    log.noteFaultsEnded(queue.millis());
   }
 
   /** Notes what each serving node has in force. */
   void look() {
     for (MeshNode node : nodes) {
       if (node.serves()) {
-        log.serving(node.id(), node.mark(), queue.millis());
+        log.noteServing(node.id(), node.mark(), queue.millis());
       }
     }
   }
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/schedule/RestartTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/schedule/RestartTest.java
@@ -17,7 +17,7 @@
   private static List<String> wentBack(DistributionSettings settings, long seed) {
     ScheduledMesh mesh =
         new ScheduledMesh(
-            new ScheduledMesh.Options(LAYOUT, FaultMatrix.ROUGH, settings, 4, false, seed),
+            new ScheduledMesh.Options(LAYOUT, FaultMatrix.ROUGH, settings, 4, true, seed),
             (node, effects) -> effects,
             (step, node) -> {});
     EventQueue queue = mesh.queue();
