--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminClient.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminClient.java
@@ -8,6 +8,7 @@
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.UnresolvedAddressException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
@@ -63,6 +64,23 @@
     return tryNodes(HttpMethod.GET, path, resent -> null, type, true);
   }
 
+  /** Asks every node and returns the answers of those that answered, at least one. */
+  <T> List<T> getFromAll(String path, Class<T> type) {
+    List<T> answers = new ArrayList<>();
+    ClientException last = null;
+    for (NodeAddress node : nodes) {
+      try {
+        answers.add(new AdminClient(http, List.of(node), token, leftMillis()).get(path, type));
+      } catch (ClientException e) {
+        last = e;
+      }
+    }
+    if (answers.isEmpty()) {
+      throw last;
+    }
+    return answers;
+  }
+
   /** Sends a command that is not idempotent. */
   <T> T post(String path, Object body, Class<T> type) {
     return tryNodes(HttpMethod.POST, path, resent -> body, type, false);
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AnswerPrinter.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AnswerPrinter.java
@@ -104,7 +104,8 @@
 
   private static void explanation(AdminAnswer.Explanation explanation, PrintWriter out) {
     if (explanation.decisions().isEmpty()) {
-      out.println("this node remembers no decision on request " + explanation.request());
+      out.println(
+          "no node that was asked remembers a decision on request " + explanation.request());
       return;
     }
     TextTable table =
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ExplainCommand.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ExplainCommand.java
@@ -2,12 +2,17 @@
 
 import io.hemlockbend.core.administration.AdminAnswer;
 import io.hemlockbend.core.administration.AdminPaths;
+import io.hemlockbend.core.api.DecisionRecord;
 import io.hemlockbend.core.api.RequestId;
+import java.util.Comparator;
+import java.util.List;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-/** Tells why a node routed or refused a request. */
-@Command(name = "explain", description = "Tell why the node routed or refused a request.")
+/** Tells why nodes routed or refused a request; asks all nodes given, since each knows its part. */
+@Command(
+    name = "explain",
+    description = "Tell why the nodes given by --node routed or refused a request.")
 final class ExplainCommand extends AdminCommand {
   @Parameters(paramLabel = "REQUEST", description = "The request's id.")
   private RequestId request;
@@ -15,6 +20,11 @@
   @Override
   Object ask(AdminClient client) {
     String path = AdminPaths.EXPLAIN + "?" + AdminPaths.REQUEST + "=" + request;
-    return client.get(path, AdminAnswer.Explanation.class);
+    List<DecisionRecord> decisions =
+        client.getFromAll(path, AdminAnswer.Explanation.class).stream()
+            .flatMap(answer -> answer.decisions().stream())
+            .sorted(Comparator.comparingLong(DecisionRecord::atMillis))
+            .toList();
+    return new AdminAnswer.Explanation(request, decisions);
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/ServiceOwnership.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/ServiceOwnership.java
@@ -10,11 +10,14 @@
 import io.hemlockbend.core.validation.ViolationKey;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /**
  * Decides whether an author may make a change. A team may change the services that it owns and
- * their routes, and may add services of its own; failure domains belong to authors who own all.
+ * their routes, and may add services of its own; it may not put a route under the path of another
+ * team's route, which would take that route's requests. Failure domains belong to authors who own
+ * all.
  */
 public final class ServiceOwnership {
   private ServiceOwnership() {}
@@ -40,9 +43,11 @@
   private static Stream<String> foreign(Configuration base, Change change, TeamName team) {
     return switch (change) {
       case Change.PutRoute(Route route) ->
-          Stream.concat(
-              foreignService(base, route.service(), team),
-              foreignRoute(base.routes().get(route.name()), base, team));
+          Stream.of(
+                  foreignService(base, route.service(), team),
+                  foreignRoute(base.routes().get(route.name()), base, team),
+                  routesAbove(route, base).flatMap(above -> foreignRoute(above, base, team)))
+              .flatMap(Function.identity());
       case Change.RemoveRoute(var route) -> foreignRoute(base.routes().get(route), base, team);
       case Change.AddVersion(var key, TeamName owner) ->
           base.services().containsKey(key.service()) || owner.equals(team)
@@ -58,6 +63,18 @@
     };
   }
 
+  /** Returns the routes whose requests the route would take; the root is open to all teams. */
+  private static Stream<Route> routesAbove(Route route, Configuration base) {
+    String path = segments(route.pathPrefix());
+    return base.routes().values().stream()
+        .filter(other -> !segments(other.pathPrefix()).equals("/"))
+        .filter(other -> path.startsWith(segments(other.pathPrefix())));
+  }
+
+  private static String segments(String pathPrefix) {
+    return pathPrefix.endsWith("/") ? pathPrefix : pathPrefix + "/";
+  }
+
   private static Stream<String> foreignRoute(Route route, Configuration base, TeamName team) {
     return Stream.ofNullable(route)
         .filter(r -> foreignService(base, r.service(), team).findAny().isPresent())
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
@@ -55,7 +55,6 @@
         return new Result(choices.states(), broken);
       }
     } while (choices.next());
-    System.out.println("explored " + choices.states() + " states");
     return new Result(choices.states(), List.of());
   }
 
@@ -139,6 +138,16 @@
     assertThat(result.broken()).first().asString().contains("Unavailable");
   }
 
+  @Test
+  void withTheCommitRowReadFirstAnOperatorIsToldWrongly() {
+    Result result =
+        explore(
+            FAULTS,
+            SEED,
+            world -> race(world.commitRowFirst(), route("r", "/a"), route("r", "/b")));
+    assertThat(result.broken()).first().asString().contains("was told Refused");
+  }
+
   @Test
   void withoutTheConditionsOnTheVersionAnAcceptanceIsLost() {
     Result result =
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
@@ -8,6 +8,7 @@
 import io.hemlockbend.core.model.ChangeApplier;
 import io.hemlockbend.core.model.Configuration;
 import io.hemlockbend.core.table.Condition;
+import io.hemlockbend.core.table.Row;
 import io.hemlockbend.core.table.RowKey;
 import io.hemlockbend.core.table.RowValue;
 import io.hemlockbend.core.table.RowWrite;
@@ -28,6 +29,7 @@
   private final Choices choices;
   private int faultsLeft;
   private boolean lostMeansFailed;
+  private boolean commitRowFirst;
   private UnaryOperator<Transaction> rewriting = UnaryOperator.identity();
   private Runnable outsider = () -> {};
   private boolean outsiderLeft;
@@ -49,6 +51,7 @@
     final CommitId id;
     private final List<SettlementEvent> events = new ArrayList<>();
     private SettlementStep step;
+    private Optional<Row> commitRow;
 
     Committer(CommitSettlement settlement, CommitId id) {
       this.settlement = settlement;
@@ -76,6 +79,12 @@
     return this;
   }
 
+  /** Breaks the committers: the commit row is read before the row current, not after it. */
+  CommitWorld commitRowFirst() {
+    commitRowFirst = true;
+    return this;
+  }
+
   /** Breaks the transactions. */
   CommitWorld rewriting(UnaryOperator<Transaction> rewrite) {
     rewriting = rewrite;
@@ -162,6 +171,7 @@
   private List<Object> state() {
     List<Object> state = new ArrayList<>(table.rows.values());
     committers.forEach(c -> state.add(List.copyOf(c.events)));
+    committers.forEach(c -> state.add(Optional.ofNullable(c.commitRow)));
     state.add(List.copyOf(underWay));
     state.add(faultsLeft);
     state.add(outsiderLeft);
@@ -169,6 +179,10 @@
   }
 
   private void addMoves(Committer committer, List<Runnable> moves) {
+    if (commitRowFirst && committer.step.equals(new SettlementStep.ReadRow(RowKey.CURRENT))) {
+      moves.add(() -> readCommitRowFirst(committer));
+      return;
+    }
     moves.add(() -> committer.answer(perform(committer.step)));
     if (!(committer.step instanceof SettlementStep.Transact(Transaction raw)) || faultsLeft == 0) {
       return;
@@ -188,6 +202,16 @@
         });
   }
 
+  private void readCommitRowFirst(Committer committer) {
+    if (committer.commitRow == null) {
+      committer.commitRow = table.read(RowKey.commit(committer.id));
+      return;
+    }
+    committer.answer(perform(committer.step));
+    committer.answer(new SettlementEvent.RowRead(committer.commitRow));
+    committer.commitRow = null;
+  }
+
   /** Steps that nobody else can see are taken at once, which leaves out no outcome. */
   private void skipLocalSteps(Committer committer) {
     while (committer.step instanceof SettlementStep.FetchBody
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
@@ -150,12 +150,15 @@
   private CompletableFuture<Object> audited(
       Command command, Operator operator, Object answer, Throwable failure) {
     String outcome = failure == null ? "OK" : problem(failure).problem().name();
-    CompletableFuture<Void> entered = audit.enter(operator, command.name(), outcome);
     CompletableFuture<Object> result =
         failure == null
             ? CompletableFuture.completedFuture(answer)
             : CompletableFuture.failedFuture(failure);
-    return command.changes() ? entered.thenCompose(done -> result) : result;
+    if (!command.changes()) {
+      audit.enterAsk(operator, command.name(), outcome);
+      return result;
+    }
+    return audit.enter(operator, command.name(), outcome).thenCompose(done -> result);
   }
 
   private static Problem problem(Throwable failure) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AuditTrail.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AuditTrail.java
@@ -11,7 +11,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -23,14 +25,20 @@
 final class AuditTrail {
   private static final Logger LOGGER = LogManager.getLogger(AuditTrail.class);
   private static final int MAX_KEPT = 256;
-  private static final long ANONYMOUS_INTERVAL_MILLIS = 1_000;
+  private static final long REPEAT_INTERVAL_MILLIS = 1_000;
+  private static final String ANONYMOUS = "anonymous";
+  private static final String UNAUTHENTICATED = "UNAUTHENTICATED";
+  private static final TeamName NO_TEAM = new TeamName("none");
 
   private final TableService table;
   private final NodeId node;
   private final Clock clock;
   private final Deque<RowWrite> kept = new ArrayDeque<>();
+  private final Map<Repeat, Long> lastEntered = new HashMap<>();
   private long entries;
-  private long lastAnonymousMillis;
+
+  /** What makes two entries repeats of each other; bounded by the operators and commands. */
+  private record Repeat(String actor, String command, String outcome) {}
 
   AuditTrail(TableService table, NodeId node, Clock clock) {
     this.table = table;
@@ -43,16 +51,28 @@
     return write(operator.author().name(), operator.author().team(), command, outcome);
   }
 
-  /** Enters a command without a valid token, at most one a second. */
+  /** Enters a command that changes nothing; repeats within a second count as one. */
+  void enterAsk(Operator operator, String command, String outcome) {
+    if (firstInInterval(new Repeat(operator.author().name(), command, outcome))) {
+      enter(operator, command, outcome);
+    }
+  }
+
+  /** Enters a command without a valid token; repeats within a second count as one. */
   void enterAnonymous(String command) {
-    synchronized (this) {
-      long nowMillis = clock.millis();
-      if (nowMillis - lastAnonymousMillis < ANONYMOUS_INTERVAL_MILLIS) {
-        return;
-      }
-      lastAnonymousMillis = nowMillis;
+    if (firstInInterval(new Repeat(ANONYMOUS, command, UNAUTHENTICATED))) {
+      write(ANONYMOUS, NO_TEAM, command, UNAUTHENTICATED);
+    }
+  }
+
+  private synchronized boolean firstInInterval(Repeat repeat) {
+    long nowMillis = clock.millis();
+    Long lastMillis = lastEntered.get(repeat);
+    if (lastMillis != null && nowMillis - lastMillis < REPEAT_INTERVAL_MILLIS) {
+      return false;
     }
-    write("anonymous", new TeamName("none"), command, "UNAUTHENTICATED");
+    lastEntered.put(repeat, nowMillis);
+    return true;
   }
 
   private CompletableFuture<Void> write(
