Settle brakes by the configuration, hold renewals during a commit, delete old claims

A renewal between the reading of the lease and the commit under it changes the row that the commit's condition names; the holder now renews during a commit only when the lease would be lost otherwise. Brakes on versions that the configuration in force holds as taken back are settled.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -41,6 +41,7 @@
 import io.hemlockbend.node.metrics.DecisionMeters;
 import io.hemlockbend.node.metrics.MetricsHandler;
 import io.hemlockbend.node.metrics.NodeMeters;
+import io.hemlockbend.node.rollout.ClaimCleanupDriver;
 import io.hemlockbend.node.rollout.EvidenceInbox;
 import io.hemlockbend.node.rollout.LeasedCommitter;
 import io.hemlockbend.node.rollout.RolloutTask;
@@ -257,6 +258,7 @@
         decisions,
         control.executor(),
         new LeaseKeeper(settings.nodeId(), new SplittableRandom(seed())),
+        ClaimCleanupDriver.cleanup(new SplittableRandom(seed())),
         table,
         clock);
   }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -279,14 +279,12 @@
   }
 
   private void apply(DistributionEffect.Apply apply) {
-    Configuration before =
-        published.table().map(RoutingTable::configuration).orElse(Configuration.EMPTY);
     state.membership.applied(apply.mark());
     state.brakes =
         state
             .brakes
-            .afterChanges(apply.mark().version(), Readded.between(before, apply.configuration()))
-            .retain(apply.configuration()::usable);
+            .afterConfiguration(apply.configuration())
+            .retain(apply.configuration().versions()::containsKey);
     state.membership.retainBrakes(brake -> state.brakes.binds(brake.key()));
     applied.applied(apply.mark());
     tasks.forEach(task -> task.applied(apply.configuration(), clock.millis()));
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/LeaseDriver.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/LeaseDriver.java
@@ -23,8 +23,15 @@
     this.clock = clock;
   }
 
-  void tick(boolean candidate, long nowMillis) {
+  /**
+   * Does what is due. While a commit is under way the lease is renewed only when it would be lost
+   * otherwise, since a renewal makes the commit's condition fail.
+   */
+  void tick(boolean candidate, boolean committing, long nowMillis) {
     keeper.candidate(candidate);
+    if (committing && !keeper.urgent(nowMillis)) {
+      return;
+    }
     keeper.poll(nowMillis).ifPresent(this::carryOut);
   }
 
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
@@ -11,6 +11,7 @@
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.brake.BrakeDetector;
+import io.hemlockbend.core.claim.ClaimCleanup;
 import io.hemlockbend.core.evidence.EvidenceInterest;
 import io.hemlockbend.core.evidence.EvidenceWindow;
 import io.hemlockbend.core.lease.HeldLease;
@@ -47,6 +48,7 @@
   private final DecisionListener decisions;
   private final Executor control;
   private final LeaseDriver lease;
+  private final ClaimCleanupDriver cleanup;
   private final Clock clock;
   private final EvidenceInterest interest = new EvidenceInterest();
   private final EvidenceWindow window = new EvidenceWindow();
@@ -64,6 +66,7 @@
    * @param decisions hears of each decision
    * @param control the control thread
    * @param keeper takes and renews the lease
+   * @param claims finds claims that are too old
    * @param table the platform's table
    * @param clock tells the time
    */
@@ -75,6 +78,7 @@
       DecisionListener decisions,
       Executor control,
       LeaseKeeper keeper,
+      ClaimCleanup claims,
       TableService table,
       Clock clock) {
     this.self = self;
@@ -84,6 +88,7 @@
     this.decisions = decisions;
     this.control = control;
     this.lease = new LeaseDriver(keeper, table, control, clock);
+    this.cleanup = new ClaimCleanupDriver(claims, table, control, clock);
     this.clock = clock;
   }
 
@@ -91,14 +96,20 @@
   public void tick(long nowMillis) {
     List<NodeId> candidates = LeaseCandidates.draw(mesh.members());
     inbox.report(nowMillis).ifPresent(report -> spread(wanted(report, nowMillis), candidates));
-    lease.tick(mesh.current() && candidates.contains(self), nowMillis);
+    lease.tick(mesh.current() && candidates.contains(self), committing, nowMillis);
     if (nowMillis - decidedMillis < DECIDE_MILLIS || !mesh.current()) {
       return;
     }
     decidedMillis = nowMillis;
     window.expire(nowMillis);
     brakeBadVersions(nowMillis);
-    lease.held(nowMillis).ifPresent(held -> decide(held, nowMillis));
+    lease
+        .held(nowMillis)
+        .ifPresent(
+            held -> {
+              decide(held, nowMillis);
+              cleanup.tick(nowMillis);
+            });
   }
 
   @Override
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/SettingsPage.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/settings/SettingsPage.java
@@ -7,7 +7,8 @@
       # Settings of a node
 
       Made from the code by `bin/settings-page`; a test fails when the page differs. A flag goes
-      before its variable. All faults are named in one go, nothing is started, and the exit code is 2.
+      before its variable. All faults are named in one go, nothing is started, and the exit code
+      is 2.
 
       | flag | variable | default | allowed | meaning |
       |---|---|---|---|---|
