--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
@@ -58,7 +58,7 @@
    * A request that was in flight when an upstream crashed.
    *
    * @param request the request; all resends count as the same
-   * @param upstreams the upstreams that crashed with it
+   * @param upstreams the upstreams that crashed with it, each once for each of its crashes
    * @param untilMillis until when the report counts, milliseconds since the epoch
    */
   record Suspicion(RequestId request, List<UpstreamId> upstreams, long untilMillis) {}
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/BenchResult.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/BenchResult.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.testkit.matrix;
 
+import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.retry.OutcomeWord;
 import io.hemlockbend.testkit.matrix.CallerRequest.Kind;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
  *
  * @param safeAnswered the share of safe requests that were answered
  * @param onceAnswered the share of the others that were answered
+ * @param urgentAnswered the share of urgent requests of both kinds that were answered
  * @param safeP99Millis how long 99 in 100 answered safe requests took at most
  * @param onceP99Millis the same for the others
  * @param goodput answers to all, as a share of what warm upstreams can give
@@ -23,6 +25,7 @@
 record BenchResult(
     double safeAnswered,
     double onceAnswered,
+    double urgentAnswered,
     long safeP99Millis,
     long onceP99Millis,
     double goodput,
@@ -32,11 +35,12 @@
     int worstOverrun) {
   static final String HEADER =
       String.format(
-          "%-9s %-11s %7s %7s %6s %6s %7s %7s %7s %8s %6s",
+          "%-9s %-11s %7s %7s %7s %6s %6s %7s %7s %7s %8s %6s",
           "scenario",
           "policy",
           "safe",
           "once",
+          "urgent",
           "p99 s",
           "p99 o",
           "goodput",
@@ -54,9 +58,10 @@
   @Override
   public String toString() {
     return String.format(
-        "%7.4f %7.4f %6d %6d %7.3f %7d %7d %8.4f %6d",
+        "%7.4f %7.4f %7.4f %6d %6d %7.3f %7d %7d %8.4f %6d",
         safeAnswered,
         onceAnswered,
+        urgentAnswered,
         safeP99Millis,
         onceP99Millis,
         goodput,
@@ -75,6 +80,8 @@
     private final List<Long> onceMillis = new ArrayList<>();
     private int safeSent;
     private int onceSent;
+    private int urgentSent;
+    private int urgentAnswered;
     private int doubleRuns;
     private int falseNotRun;
     private int runs;
@@ -92,6 +99,7 @@
       return new BenchResult(
           (double) safeMillis.size() / safeSent,
           (double) onceMillis.size() / onceSent,
+          (double) urgentAnswered / urgentSent,
           p99(safeMillis),
           p99(onceMillis),
           answers / seconds / sizes.capacityPerSecond(),
@@ -117,6 +125,7 @@
 
     private void sent(TraceEvent.Sent sent) {
       sentMillis.put(sent.send(), sent.atMillis());
+      urgentSent += sent.request().priority() == Priority.URGENT ? 1 : 0;
       if (sent.request().kind() == Kind.SAFE) {
         safeSent++;
       } else {
@@ -139,6 +148,7 @@
         return;
       }
       if (told.tell() instanceof Tell.Answered) {
+        urgentAnswered += told.request().priority() == Priority.URGENT ? 1 : 0;
         boolean safe = told.request().kind() == Kind.SAFE;
         (safe ? safeMillis : onceMillis).add(told.atMillis() - sent);
       }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/CallerRequest.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/CallerRequest.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.testkit.matrix;
 
 import io.hemlockbend.core.api.IdempotencyKey;
+import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.api.RequestId;
 
 /**
@@ -9,8 +10,9 @@
  * @param number identifies it
  * @param kind whether it may be repeated
  * @param large whether its answer is streamed
+ * @param priority how urgent it is
  */
-record CallerRequest(int number, Kind kind, boolean large) {
+record CallerRequest(int number, Kind kind, boolean large, Priority priority) {
 
   /** Whether a request may be repeated. */
   enum Kind {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Callers.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Callers.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.testkit.matrix;
 
+import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.testkit.matrix.CallerRequest.Kind;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,6 +14,8 @@
   private static final double SAFE_SHARE = 0.6;
   private static final double KEYED_SHARE = 0.3;
   private static final double LARGE_SHARE = 0.1;
+  private static final double URGENT_SHARE = 0.1;
+  private static final double BULK_SHARE = 0.2;
 
   private final Mesh mesh;
   private final Map<Integer, Integer> sends = new HashMap<>();
@@ -66,7 +69,14 @@
     double drawn = mesh.random().nextDouble();
     Kind rest = drawn < SAFE_SHARE + KEYED_SHARE ? Kind.KEYED : Kind.UNSAFE;
     Kind kind = drawn < SAFE_SHARE ? Kind.SAFE : rest;
-    return new CallerRequest(++requests, kind, mesh.random().nextDouble() < LARGE_SHARE);
+    boolean large = mesh.random().nextDouble() < LARGE_SHARE;
+    return new CallerRequest(++requests, kind, large, drawPriority());
+  }
+
+  private Priority drawPriority() {
+    double drawn = mesh.random().nextDouble();
+    Priority rest = drawn < URGENT_SHARE + BULK_SHARE ? Priority.BULK : Priority.NORMAL;
+    return drawn < URGENT_SHARE ? Priority.URGENT : rest;
   }
 
   private void told(CallerRequest request, int send, int entry, Tell tell) {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
@@ -12,7 +12,6 @@
 import io.hemlockbend.core.admission.RunOutcome;
 import io.hemlockbend.core.admission.Ticket;
 import io.hemlockbend.core.api.EndpointState;
-import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.claim.ClaimRefusal;
 import io.hemlockbend.core.drain.DrainState;
@@ -283,7 +282,7 @@
         send.request.id(),
         Mesh.ROUTE,
         Mesh.VERSION,
-        Priority.NORMAL,
+        send.request.priority(),
         send.deadlineMillis,
         mesh.policies().standing(standing));
   }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/RequestMatrix.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/RequestMatrix.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.testkit.matrix;
 
+import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.testkit.matrix.CallerRequest.Kind;
 import io.hemlockbend.testkit.matrix.FaultPlan.Cell;
 import java.util.ArrayList;
@@ -84,7 +85,7 @@
   static Result run(List<Cell> cells, Kind kind, long seed, Policies policies) {
     FaultPlan plan = FaultPlan.of(OBSERVED, cells);
     Mesh mesh = new Mesh(seed, Sizes.MATRIX, policies, plan);
-    CallerRequest observed = new CallerRequest(OBSERVED, kind, seed % 4 == 3);
+    CallerRequest observed = new CallerRequest(OBSERVED, kind, seed % 4 == 3, Priority.NORMAL);
     mesh.callers().start();
     mesh.queue().in(OBSERVED_AT_MILLIS, () -> mesh.callers().send(observed, 0));
     mesh.queue().runUntil(Sizes.MATRIX.endMillis() + SETTLE_MILLIS);
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/matrix/RequestMatrixTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/matrix/RequestMatrixTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hemlockbend.core.admission.AdmissionSettings;
+import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.claim.BatchOutcome;
 import io.hemlockbend.core.drain.DrainTracker;
 import io.hemlockbend.core.quarantine.Standing;
@@ -166,7 +167,7 @@
 
   @Test
   void catchesASendThatIsNeverTold() {
-    CallerRequest request = new CallerRequest(1, Kind.SAFE, false);
+    CallerRequest request = new CallerRequest(1, Kind.SAFE, false, Priority.URGENT);
     List<TraceEvent> trace = List.of(new TraceEvent.Sent(0, request, 1, 1_000));
     assertThat(TraceChecks.check(trace, Sizes.MATRIX, 0)).containsKey(Line.EVERY_SEND_TOLD);
   }
