--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminClient.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminClient.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.administration.Problem;
 import io.hemlockbend.core.administration.ProblemKey;
 import io.hemlockbend.core.api.NodeAddress;
+import java.io.PrintWriter;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.UnresolvedAddressException;
@@ -42,9 +43,16 @@
   private final List<NodeAddress> nodes;
   private final Token token;
   private final long endNanos;
+  private final PrintWriter progress;
   private int next;
 
-  private AdminClient(HttpClient http, List<NodeAddress> nodes, Token token, long timeoutMillis) {
+  private AdminClient(
+      HttpClient http,
+      List<NodeAddress> nodes,
+      Token token,
+      long timeoutMillis,
+      PrintWriter progress) {
+    this.progress = progress;
     this.http = http;
     this.nodes = List.copyOf(nodes);
     this.token = token;
@@ -52,11 +60,12 @@
   }
 
   /** Starts a client that gives up when the time is over. */
-  static AdminClient start(List<NodeAddress> nodes, Token token, long timeoutMillis) {
+  static AdminClient start(
+      List<NodeAddress> nodes, Token token, long timeoutMillis, PrintWriter progress) {
     HttpClient http = new HttpClient();
     http.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     LifeCycle.start(http);
-    return new AdminClient(http, nodes, token, timeoutMillis);
+    return new AdminClient(http, nodes, token, timeoutMillis, progress);
   }
 
   /** Asks; may be sent to several nodes. */
@@ -70,7 +79,8 @@
     ClientException last = null;
     for (NodeAddress node : nodes) {
       try {
-        answers.add(new AdminClient(http, List.of(node), token, leftMillis()).get(path, type));
+        answers.add(
+            new AdminClient(http, List.of(node), token, leftMillis(), progress).get(path, type));
       } catch (ClientException e) {
         last = e;
       }
@@ -93,6 +103,7 @@
    */
   <T> T postIdempotent(String path, Function<Boolean, Object> body, Class<T> type) {
     boolean resent = false;
+    String told = "";
     while (true) {
       boolean again = resent;
       try {
@@ -101,6 +112,11 @@
         if (!settles(e, resent) || !pause()) {
           throw resent && e.problem().isEmpty() ? ClientException.unknown(e) : e;
         }
+        if (!told.equals(e.getMessage())) {
+          told = e.getMessage();
+          progress.println("not settled yet, trying again: " + told);
+          progress.flush();
+        }
         next = (next + 1) % nodes.size();
         resent = true;
       }
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminCommand.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AdminCommand.java
@@ -15,7 +15,7 @@
 
   @Override
   public Integer call() {
-    try (AdminClient client = connection.client()) {
+    try (AdminClient client = connection.client(spec.commandLine().getErr())) {
       AnswerPrinter.print(ask(client), connection.output(), spec.commandLine().getOut());
       return afterAnswer(client);
     }
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ConnectionOptions.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/ConnectionOptions.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.cli;
 
 import io.hemlockbend.core.api.NodeAddress;
+import java.io.PrintWriter;
 import java.util.List;
 import picocli.CommandLine.Option;
 
@@ -35,8 +36,8 @@
       description = "The longest time to settle and to wait; default 30s.")
   private Span timeout = new Span(30_000);
 
-  AdminClient client() {
-    return AdminClient.start(nodes, token, timeout.millis());
+  AdminClient client(PrintWriter progress) {
+    return AdminClient.start(nodes, token, timeout.millis(), progress);
   }
 
   OutputForm output() {
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
@@ -109,19 +109,40 @@
 
   @Test
   void aPausedHolderOfALapsedLeaseCommitsNothing() {
-    Result result =
-        explore(
-            FAULTS,
-            SEED,
-            world -> {
-              world.table.write(new RowWrite.Put(RowKey.ROLLOUT_LEASE, lease("n1", 1)));
-              Condition held = new Condition.AtRevision(RowKey.ROLLOUT_LEASE, 1);
-              world.committer(
-                  "rollout", "step-1", false, List.of(route("r", "/a")), List.of(held), Set.of());
-              world.outsider(
-                  () -> world.table.write(new RowWrite.Put(RowKey.ROLLOUT_LEASE, lease("n2", 2))));
-            });
-    assertThat(result.broken()).isEmpty();
+    Condition held = new Condition.AtRevision(RowKey.ROLLOUT_LEASE, 1);
+    assertThat(explore(FAULTS, SEED, world -> lapse(world, List.of(held))).broken()).isEmpty();
+  }
+
+  @Test
+  void withoutTheConditionOnTheLeaseAPausedHolderCommits() {
+    Result result = explore(FAULTS, SEED, world -> lapse(world, List.of()));
+    assertThat(result.broken()).first().asString().contains("after the outsider");
+  }
+
+  private static void lapse(CommitWorld world, List<Condition> held) {
+    world.table.write(new RowWrite.Put(RowKey.ROLLOUT_LEASE, lease("n1", 1)));
+    List<Change> step = List.of(route("r", "/a"));
+    world.committer("rollout", "step-1", false, step, held, Set.of());
+    world.outsider(() -> world.table.write(new RowWrite.Put(RowKey.ROLLOUT_LEASE, lease("n2", 2))));
+  }
+
+  /** Take-backs only tighten, so none is refused for what others changed in between. */
+  @Test
+  void aTakeBackIsAcceptedWhateverItsRaceWith() {
+    List<Change> seed = List.of(add(QUOTES, "v1"), add(QUOTES, "v2"));
+    VersionName v2 = new VersionName("v2");
+    Choices choices = new Choices();
+    do {
+      CommitWorld world = new CommitWorld(choices, 0, seed);
+      Change back = new Change.TakeBack(new VersionKey(QUOTES, v2), null);
+      world.committer("amel", "back", false, List.of(back), List.of(), Set.of());
+      Change move = new Change.StartMove(QUOTES, v2, 0, 99);
+      world.committer("badr", "move", false, List.of(move), List.of(), Set.of());
+      if (world.run()) {
+        assertThat(world.broken()).isEmpty();
+        assertThat(world.table.history()).extracting(row -> row.commit().value()).contains("back");
+      }
+    } while (choices.next());
   }
 
   private static RowValue.Lease lease(String holder, long term) {
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
@@ -33,6 +33,7 @@
   private UnaryOperator<Transaction> rewriting = UnaryOperator.identity();
   private Runnable outsider = () -> {};
   private boolean outsiderLeft;
+  private int acceptedBeforeOutsider = Integer.MAX_VALUE;
 
   CommitWorld(Choices choices, int faults, List<Change> seed) {
     this.choices = choices;
@@ -91,7 +92,7 @@
     return this;
   }
 
-  /** Lets something else happen once, at any moment. */
+  /** Lets something else happen once, at any moment; nothing may be accepted after it. */
   void outsider(Runnable action) {
     outsider = action;
     outsiderLeft = true;
@@ -154,6 +155,7 @@
         moves.add(
             () -> {
               outsiderLeft = false;
+              acceptedBeforeOutsider = table.history().size();
               outsider.run();
             });
       }
@@ -175,6 +177,7 @@
     state.add(List.copyOf(underWay));
     state.add(faultsLeft);
     state.add(outsiderLeft);
+    state.add(acceptedBeforeOutsider);
     return state;
   }
 
@@ -256,6 +259,9 @@
         && !table.current().version().equals(body.version())) {
       broken.add("current is not the last of the history");
     }
+    if (table.history().size() > acceptedBeforeOutsider) {
+      broken.add("a version was accepted after the outsider");
+    }
     committers.forEach(c -> toldWrongly(c).ifPresent(broken::add));
     return broken;
   }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/TokenAuthenticator.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/TokenAuthenticator.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Knows operators by bearer tokens. Only SHA-256 hashes of the tokens are kept. A presented token
@@ -24,7 +26,10 @@
   public static final TeamName PLATFORM_TEAM = new TeamName("platform");
 
   private static final String SCHEME = "bearer ";
-  private static final String HASHED = "sha256:";
+  private static final Pattern HASHED = Pattern.compile("sha256:[0-9a-f]{64}");
+  private static final Pattern GRANT =
+      Pattern.compile(
+          "(.+)=(reader|operator):([A-Za-z0-9._-]{1,64}|\\*)(?::([A-Za-z0-9._-]{1,64}))?");
   private static final int NAME_DIGITS = 8;
 
   private final List<Grant> grants;
@@ -57,25 +62,22 @@
   }
 
   private static Grant grant(int position, String entry) {
-    int split = entry.lastIndexOf('=');
-    String[] parts = entry.substring(split + 1).split(":");
-    if (split < 1 || parts.length < 2 || parts.length > 3) {
+    Matcher parts = GRANT.matcher(entry);
+    if (!parts.matches()) {
       throw new IllegalArgumentException("token " + position + " must be token=role:team[:name]");
     }
-    byte[] hash = hash(entry.substring(0, split));
-    boolean ownsAll = parts[1].equals(EVERYTHING);
-    TeamName team = ownsAll ? PLATFORM_TEAM : new TeamName(parts[1]);
-    String name =
-        parts.length == 3
-            ? parts[2]
-            : team + "-" + HexFormat.of().formatHex(hash).substring(0, NAME_DIGITS);
-    Author author = new Author(name, team, ownsAll);
-    return new Grant(hash, new Operator(author, Role.valueOf(parts[0].toUpperCase(Locale.ROOT))));
+    byte[] hash = hash(parts.group(1));
+    boolean ownsAll = parts.group(3).equals(EVERYTHING);
+    TeamName team = ownsAll ? PLATFORM_TEAM : new TeamName(parts.group(3));
+    String digits = HexFormat.of().formatHex(hash).substring(0, NAME_DIGITS);
+    String name = parts.group(4) == null ? team + "-" + digits : parts.group(4);
+    Role role = Role.valueOf(parts.group(2).toUpperCase(Locale.ROOT));
+    return new Grant(hash, new Operator(new Author(name, team, ownsAll), role));
   }
 
   private static byte[] hash(String token) {
-    return token.startsWith(HASHED)
-        ? HexFormat.of().parseHex(token.substring(HASHED.length()))
+    return HASHED.matcher(token).matches()
+        ? HexFormat.of().parseHex(token.substring(token.indexOf(':') + 1))
         : sha256(token);
   }
 
--- a/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
+++ b/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
@@ -250,7 +250,7 @@
     assertThat(api.problem(api.get(TEAM, AdminPaths.DIFF)).problem())
         .isEqualTo(ProblemKey.PLATFORM_AWAY);
     api.platform.away(false);
-    api.get(READER, AdminPaths.SHOW);
+    api.get(READER, AdminPaths.DIFF);
     assertThat(audit()).filteredOn(line -> line.contains("explain OK")).hasSize(1);
   }
 }
