Bound what the control thread does for each member and message

The candidates for the lease are drawn once a second, not on each tick. Cells of upstreams that are gone are forgotten, an Expect field is answered by the node itself, and a request target without a path is refused as bad.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -31,6 +31,7 @@
 import io.hemlockbend.node.control.ControlStates;
 import io.hemlockbend.node.control.MeshSnapshot;
 import io.hemlockbend.node.control.PublishedTable;
+import io.hemlockbend.node.entry.CellCleanup;
 import io.hemlockbend.node.entry.EntryHandler;
 import io.hemlockbend.node.entry.EntryService;
 import io.hemlockbend.node.forward.Forwarder;
@@ -273,6 +274,7 @@
             decisions,
             clock,
             settings.attemptTimeoutMillis());
+    control.add(new CellCleanup(entry, control));
     Map<Connector, Handler> handlers =
         Map.of(
             callers,
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -43,6 +43,7 @@
   private static final long TICK_MILLIS = 50;
   private static final long REBUILD_MILLIS = 500;
   private static final long VIEW_MILLIS = 100;
+  private static final long MEMBERS_MILLIS = 150;
 
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(
@@ -56,6 +57,7 @@
   private final PlatformReads reads;
   private final List<ControlTask> tasks = new ArrayList<>();
   private long knownChanges = -1;
+  private long membersMillis;
   private long builtMillis;
   private boolean stale = true;
   private long viewMillis;
@@ -235,7 +237,6 @@
     state.membership.find(message.sender()).ifPresent(sender -> peers.heardFrom(sender.control()));
     send(state.membership.receive(message, now));
     hearReports(now);
-    membersChanged(now);
     carryOut(state.distributor.receive(message, now));
     tasks.forEach(task -> task.received(message, now));
     refresh(now);
@@ -253,10 +254,12 @@
         .forEach(state.membership::spread);
   }
 
+  /** Takes in changed members, but not for each message of a herd that joins. */
   private void membersChanged(long now) {
-    if (state.membership.changes() == knownChanges) {
+    if (state.membership.changes() == knownChanges || now - membersMillis < MEMBERS_MILLIS) {
       return;
     }
+    membersMillis = now;
     knownChanges = state.membership.changes();
     state.distributor.members(state.membership.members(), now);
     state.distributor.recorded(state.membership.recordedApplied());
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryHandler.java
@@ -57,6 +57,9 @@
   }
 
   private CompletableFuture<Answer> answer(Request request) {
+    if (request.getHttpURI().getCanonicalPath() == null) {
+      return CompletableFuture.completedFuture(ErrorAnswers.refused(RefusalReason.BAD_REQUEST));
+    }
     long deadlineMillis;
     RequestId id;
     Optional<IdempotencyKey> key;
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/MeshHeaders.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/MeshHeaders.java
@@ -35,10 +35,14 @@
     return field.getLowerCaseName().startsWith(PREFIX);
   }
 
-  /** Returns whether the field is about one connection and goes no further (RFC 9110, 7.6.1). */
+  /**
+   * Returns whether the field is about one connection and goes no further (RFC 9110, 7.6.1); the
+   * node answers an expectation itself by reading the body.
+   */
   static boolean hopByHop(HttpField field) {
     return switch (field.getLowerCaseName()) {
       case "connection",
+          "expect",
           "keep-alive",
           "proxy-connection",
           "proxy-authenticate",
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/rollout/RolloutTask.java
@@ -40,6 +40,7 @@
  */
 public final class RolloutTask implements ControlTask {
   private static final long DECIDE_MILLIS = 250;
+  private static final long DRAW_MILLIS = 1_000;
 
   private final NodeId self;
   private final MeshAccess mesh;
@@ -53,6 +54,8 @@
   private final EvidenceInterest interest = new EvidenceInterest();
   private final EvidenceWindow window = new EvidenceWindow();
   private final MoveController controller = new MoveController(window);
+  private List<NodeId> candidates = List.of();
+  private long drawnMillis;
   private long decidedMillis;
   private boolean committing;
 
@@ -94,8 +97,8 @@
 
   @Override
   public void tick(long nowMillis) {
-    List<NodeId> candidates = LeaseCandidates.draw(mesh.members());
-    inbox.report(nowMillis).ifPresent(report -> spread(wanted(report, nowMillis), candidates));
+    drawCandidates(nowMillis);
+    inbox.report(nowMillis).ifPresent(report -> spread(wanted(report, nowMillis)));
     lease.tick(mesh.current() && candidates.contains(self), committing, nowMillis);
     if (nowMillis - decidedMillis < DECIDE_MILLIS || !mesh.current()) {
       return;
@@ -125,6 +128,15 @@
     controller.onConfiguration(configuration, nowMillis);
   }
 
+  /** Draws the candidates once a second, since a draw looks at every member. */
+  private void drawCandidates(long nowMillis) {
+    if (nowMillis - drawnMillis < DRAW_MILLIS) {
+      return;
+    }
+    drawnMillis = nowMillis;
+    candidates = LeaseCandidates.draw(mesh.members());
+  }
+
   private EvidenceReport wanted(EvidenceReport report, long nowMillis) {
     List<RouteEvidence> wanted =
         report.evidence().stream()
@@ -133,7 +145,7 @@
     return new EvidenceReport(report.sender(), report.sequence(), wanted);
   }
 
-  private void spread(EvidenceReport report, List<NodeId> candidates) {
+  private void spread(EvidenceReport report) {
     if (report.evidence().isEmpty()) {
       return;
     }
