Send what may not be repeated in the graceful stop test

With safe requests the test passed on a node that stopped without draining, since they were tried elsewhere. With POST requests in flight it fails on that variant (502 may-have-run), so it can tell.

--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/MeshFaultsTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/MeshFaultsTest.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +35,8 @@
   private static final ServiceName COUNTER = new ServiceName("counter");
   private static final VersionKey V1 = new VersionKey(COUNTER, new VersionName("v1"));
   private static final int MOST_CRASHES = 3;
+  private static final int IN_FLIGHT_MILLIS = 80;
+  private static final int CALLERS = 12;
 
   private final HttpClient caller = HttpClient.newHttpClient();
   private EmbeddedMesh mesh;
@@ -65,21 +68,24 @@
   void gracefulStopOfANodeCutsNoRequest() throws Exception {
     ConcurrentLinkedQueue<Integer> statuses = new ConcurrentLinkedQueue<>();
     AtomicBoolean stop = new AtomicBoolean();
-    Thread callers =
-        Thread.ofVirtual()
-            .start(
-                () -> {
-                  while (!stop.get()) {
-                    statuses.add(status(mesh.entry(0), "/counter/7"));
-                    statuses.add(status(mesh.entry(1), "/counter/8"));
-                  }
-                });
+    Runnable calls =
+        () -> {
+          while (!stop.get()) {
+            statuses.add(reserve(mesh.entry(0)));
+            statuses.add(reserve(mesh.entry(3)));
+          }
+        };
+    List<Thread> callers =
+        IntStream.range(0, CALLERS).mapToObj(i -> Thread.ofVirtual().start(calls)).toList();
+    mesh.members().forEach(m -> m.upstream().faults(UpstreamFaults.slow(IN_FLIGHT_MILLIS)));
     await().atMost(PATIENCE).until(() -> statuses.size() > 50);
     mesh.members().get(2).node().close();
     int after = statuses.size();
     await().atMost(PATIENCE).until(() -> statuses.size() > after + 50);
     stop.set(true);
-    callers.join();
+    for (Thread thread : callers) {
+      thread.join();
+    }
     assertThat(statuses).containsOnly(200);
   }
 
@@ -146,6 +152,14 @@
             .build());
   }
 
+  /** Sends a request that is not repeated by anyone, so that a cut one shows. */
+  private int reserve(URI entry) {
+    return send(HttpRequest.newBuilder(entry.resolve("/counter/reserve"))
+            .POST(HttpRequest.BodyPublishers.ofString("mirror"))
+            .build())
+        .statusCode();
+  }
+
   private int status(URI entry, String path) {
     return send(HttpRequest.newBuilder(entry.resolve(path)).build()).statusCode();
   }
