Check in replay that a cold upstream gets no more than it bears

The stand-in upstream writes a line for each request beyond its cold limit; an upstream that fell back unannounced is excused for a stated grace, since nobody can know before the first sign. Counting concurrent runs from the run lines was ruled out: they have no end.

Shown to fail: with the grace ignored the good trace fails, with every overload excused the broken one passes unseen and its test fails.

--- a/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
+++ b/hemlockbend-codec/src/main/java/io/hemlockbend/codec/TypeNames.java
@@ -62,6 +62,7 @@
     list(TransactionOutcome.Conflicted.class, "conflicted", "c");
     list(TraceRecord.Call.class, "call", "c");
     list(TraceRecord.Run.class, "run", "r");
+    list(TraceRecord.ColdOverload.class, "cold-overload", "o");
     list(TraceRecord.Decision.class, "decision", "d");
     list(TraceRecord.Applied.class, "applied", "a");
   }
--- a/hemlockbend-codec/src/main/java/io/hemlockbend/codec/trace/TraceRecord.java
+++ b/hemlockbend-codec/src/main/java/io/hemlockbend/codec/trace/TraceRecord.java
@@ -63,6 +63,16 @@
       UpstreamId upstream)
       implements TraceRecord {}
 
+  /**
+   * A request that an upstream got beyond what it bore in its cold start.
+   *
+   * @param atMillis when
+   * @param request the request's id, when it had one
+   * @param upstream the upstream
+   */
+  record ColdOverload(long atMillis, Optional<RequestId> request, UpstreamId upstream)
+      implements TraceRecord {}
+
   /**
    * A decision that a node logged.
    *
--- /dev/null
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/ColdStartCheck.java
@@ -0,0 +1,45 @@
+package io.hemlockbend.testkit.replay;
+
+import io.hemlockbend.codec.trace.TraceRecord;
+import io.hemlockbend.testkit.trace.TraceLine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Checks that no cold upstream got more than it bears, but for a grace after it fell back into a
+ * cold start unannounced.
+ */
+public final class ColdStartCheck implements OutcomeCheck {
+  private final StatedOutcomes outcomes;
+  private final List<Violation> violations = new ArrayList<>();
+
+  /** Makes the check. */
+  public ColdStartCheck(StatedOutcomes outcomes) {
+    this.outcomes = outcomes;
+  }
+
+  @Override
+  public Set<Class<? extends TraceRecord>> wants() {
+    return Set.of(TraceRecord.ColdOverload.class);
+  }
+
+  @Override
+  public void see(TraceLine line) {
+    if (line.record() instanceof TraceRecord.ColdOverload overload && !excused(overload)) {
+      violations.add(new Violation.ColdStartOverloaded(line.position(), overload.upstream()));
+    }
+  }
+
+  private boolean excused(TraceRecord.ColdOverload overload) {
+    return outcomes.fallenCold().stream()
+        .filter(fallen -> fallen.upstream().equals(overload.upstream()))
+        .mapToLong(fallen -> overload.atMillis() - fallen.atMillis())
+        .anyMatch(millis -> millis >= 0 && millis <= outcomes.coldGraceMillis());
+  }
+
+  @Override
+  public List<Violation> violations() {
+    return List.copyOf(violations);
+  }
+}
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/StatedOutcomes.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/StatedOutcomes.java
@@ -22,6 +22,8 @@
  * @param accepted the configurations that were accepted
  * @param applyGraceMillis how long after its acceptance a configuration may not be in force yet
  * @param crashes when processes were killed or connections cut, so that answers may break off
+ * @param fallenCold the upstreams that fell back into a cold start unannounced
+ * @param coldGraceMillis how long after such a fall an upstream may get more than it bears
  */
 public record StatedOutcomes(
     SortedMap<UpstreamId, FailureDomain> placement,
@@ -33,7 +35,9 @@
     List<BadVersion> badVersions,
     List<Accepted> accepted,
     long applyGraceMillis,
-    List<Window> crashes) {
+    List<Window> crashes,
+    List<FallenCold> fallenCold,
+    long coldGraceMillis) {
 
   /**
    * A span of time.
@@ -69,6 +73,14 @@
    */
   public record Leaving(UpstreamId upstream, long atMillis) {}
 
+  /**
+   * An upstream that fell back into a cold start without a word.
+   *
+   * @param upstream the upstream
+   * @param atMillis when
+   */
+  public record FallenCold(UpstreamId upstream, long atMillis) {}
+
   /**
    * A version that was bad.
    *
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/TraceReplay.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/TraceReplay.java
@@ -25,6 +25,7 @@
         new NotRunIsTrueCheck(),
         new WithdrawnDomainCheck(outcomes),
         new LeavingUpstreamCheck(outcomes),
+        new ColdStartCheck(outcomes),
         new NeverOlderCheck(),
         new ConvergenceCheck(outcomes),
         new BadVersionShareCheck(outcomes));
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/Violation.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/replay/Violation.java
@@ -40,6 +40,9 @@
   record WorkOnLeavingUpstream(TracePosition position, UpstreamId upstream, long lateMillis)
       implements Violation {}
 
+  /** A cold upstream got more than it bears. */
+  record ColdStartOverloaded(TracePosition position, UpstreamId upstream) implements Violation {}
+
   /** A node went back to an older configuration. */
   record OlderConfiguration(
       TracePosition position, NodeId node, ConfigurationVersion from, ConfigurationVersion to)
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/upstream/UpstreamMain.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/upstream/UpstreamMain.java
@@ -60,7 +60,7 @@
   @Option(names = "--seed", description = "Draws the requests that fail.")
   private long seed = 1;
 
-  @Option(names = "--trace", description = "File that takes a line for each request run.")
+  @Option(names = "--trace", description = "File for what becomes of each request.")
   private Path trace;
 
   private UpstreamMain() {}
@@ -72,7 +72,8 @@
 
   @Override
   public Integer call() throws InterruptedException {
-    RunListener listener = trace == null ? RunListener.NONE : new TraceWriter(trace)::write;
+    UpstreamListener listener =
+        trace == null ? UpstreamListener.NONE : new TraceWriter(trace)::write;
     Runnable halt = () -> Runtime.getRuntime().halt(CRASH_STATUS);
     UpstreamServer server =
         new UpstreamServer(settings(), new RunLedger(), listener, Optional.of(halt));
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/upstream/UpstreamServer.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/upstream/UpstreamServer.java
@@ -33,7 +33,7 @@
   private final Clock clock = System::currentTimeMillis;
   private final UpstreamSettings settings;
   private final RunLedger ledger;
-  private final RunListener listener;
+  private final UpstreamListener listener;
   private final Runnable onCrash;
   private final ConcurrencyGate gate;
   private final Semaphore slots;
@@ -45,7 +45,7 @@
 
   /** Makes an upstream in this process and starts it; a crash closes it with all connections. */
   public UpstreamServer(UpstreamSettings settings, RunLedger ledger) {
-    this(settings, ledger, RunListener.NONE, Optional.empty());
+    this(settings, ledger, UpstreamListener.NONE, Optional.empty());
   }
 
   /**
@@ -53,11 +53,14 @@
    *
    * @param settings what it is
    * @param ledger counts what it runs
-   * @param listener is told of what it runs
+   * @param listener is told what it does with its requests
    * @param crash what a request that crashes it does, or empty to close all connections
    */
   public UpstreamServer(
-      UpstreamSettings settings, RunLedger ledger, RunListener listener, Optional<Runnable> crash) {
+      UpstreamSettings settings,
+      RunLedger ledger,
+      UpstreamListener listener,
+      Optional<Runnable> crash) {
     this.settings = settings;
     this.ledger = ledger;
     this.listener = listener;
@@ -154,6 +157,8 @@
       Thread.sleep(Long.MAX_VALUE);
     }
     if (!gate.enter()) {
+      listener.onRecord(
+          new TraceRecord.ColdOverload(clock.millis(), requestId(exchange), settings.upstream()));
       exchange.reply(HttpStatus.SERVICE_UNAVAILABLE_503);
       return;
     }
@@ -189,10 +194,10 @@
 
   private int count(Exchange exchange) {
     Optional<String> key = exchange.header(Headers.IDEMPOTENCY_KEY);
-    listener.onRun(
+    listener.onRecord(
         new TraceRecord.Run(
             clock.millis(),
-            exchange.header(Headers.REQUEST_ID).map(RequestId::new),
+            requestId(exchange),
             key.map(IdempotencyKey::new),
             settings.service(),
             settings.version(),
@@ -204,6 +209,10 @@
     return ledger.count(key.get());
   }
 
+  private static Optional<RequestId> requestId(Exchange exchange) {
+    return exchange.header(Headers.REQUEST_ID).map(RequestId::new);
+  }
+
   private boolean drawn(int permille) {
     synchronized (random) {
       return random.nextInt(ALL_PERMILLE) < permille;
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/replay/TraceReplayTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/replay/TraceReplayTest.java
@@ -31,17 +31,18 @@
 
   @ParameterizedTest
   @CsvSource({
-    "damaged-answer, WrongAnswer, 27",
-    "crossed-answer, WrongAnswer, 27",
-    "cut-request, CutRequest, 27",
-    "repeated-run, RepeatedRun, 27",
-    "false-not-run, FalseNotRun, 28",
-    "work-in-withdrawn-domain, WorkInWithdrawnDomain, 27",
-    "work-on-leaving-upstream, WorkOnLeavingUpstream, 27",
-    "older-configuration, OlderConfiguration, 27",
-    "late-configuration, LateConfiguration, 26",
-    "bad-version-used, BadVersionUsed, 27",
-    "bad-share-exceeded, BadShareExceeded, 27"
+    "damaged-answer, WrongAnswer, 28",
+    "crossed-answer, WrongAnswer, 28",
+    "cut-request, CutRequest, 28",
+    "repeated-run, RepeatedRun, 28",
+    "false-not-run, FalseNotRun, 29",
+    "work-in-withdrawn-domain, WorkInWithdrawnDomain, 28",
+    "work-on-leaving-upstream, WorkOnLeavingUpstream, 28",
+    "cold-start-overloaded, ColdStartOverloaded, 28",
+    "older-configuration, OlderConfiguration, 28",
+    "late-configuration, LateConfiguration, 27",
+    "bad-version-used, BadVersionUsed, 28",
+    "bad-share-exceeded, BadShareExceeded, 28"
   })
   void brokenTraceIsCaughtByItsRuleOnly(String trace, String violation, int line)
       throws IOException {
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/upstream/UpstreamServerTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/upstream/UpstreamServerTest.java
@@ -6,12 +6,16 @@
 
 import io.hemlockbend.codec.AnnouncementBody;
 import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.codec.trace.TraceRecord;
 import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.testkit.http.BlockingServer;
 import io.hemlockbend.testkit.http.Headers;
 import io.hemlockbend.testkit.upstream.UpstreamSettings.ColdLimit;
 import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -84,13 +88,15 @@
   void coldUpstreamFailsWhatItDoesNotBear() throws Exception {
     UpstreamSettings cold =
         SETTINGS.withServiceMillis(HOUR_MILLIS).withLimits(10, new ColdLimit(2, HOUR_MILLIS));
-    try (UpstreamServer server = new UpstreamServer(cold, ledger)) {
+    Queue<TraceRecord> seen = new ConcurrentLinkedQueue<>();
+    try (UpstreamServer server = new UpstreamServer(cold, ledger, seen::add, Optional.empty())) {
       new CompletableResponseListener(request(server, "/a")).send();
       new CompletableResponseListener(request(server, "/b")).send();
       await().until(() -> server.report(false).mostAtOnce() == 2);
       assertThat(request(server, "/c").send().getStatus()).isEqualTo(503);
       assertThat(server.report(false).coldOverloads()).isEqualTo(1);
       assertThat(ledger.runs()).isEqualTo(2);
+      assertThat(seen).hasAtLeastOneElementOfType(TraceRecord.ColdOverload.class).hasSize(3);
     }
   }
 
