Fence a paused node off from new work, and put withdrawals into the matrix

A withdrawal reaches nodes with a delay; a node that was paused when it came took work from its backlog once it went on. PauseFence closes when the control thread has not vouched for a while and opens once peers were heard again; it is asked at admission and right before the first byte.

--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/EntryModel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/EntryModel.java
@@ -68,7 +68,10 @@
 
   /** Takes what comes back on the connection of a try. */
   void replied(Try attempt, Try.Reply reply) {
-    if (!attempt.open || attempt.node.id().equals(silentTo) && attempt.sent) {
+    if (attempt.node.id().equals(silentTo)) {
+      return;
+    }
+    if (!attempt.open) {
       mesh.lateReply(attempt, reply);
       return;
     }
@@ -132,7 +135,7 @@
     long leftMillis = attempt.send.deadlineMillis - mesh.queue().now();
     mesh.queue().in(Math.min(TRY_MILLIS, Math.max(0, leftMillis)), () -> timedOut(attempt));
     if (!silent && attempt.open && attempt.node.alive()) {
-      attempt.node.deliver(HOP_MILLIS, () -> attempt.node.receive(attempt));
+      attempt.node.process().deliver(HOP_MILLIS, () -> attempt.node.receive(attempt));
     } else if (!silent) {
       broke(attempt);
     }
@@ -202,7 +205,7 @@
   private void close(Try attempt) {
     release(attempt);
     if (attempt.sent && attempt.node.alive()) {
-      attempt.node.deliver(HOP_MILLIS, () -> attempt.node.cancelled(attempt));
+      attempt.node.process().deliver(HOP_MILLIS, () -> attempt.node.cancelled(attempt));
     }
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Fault.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Fault.java
@@ -16,5 +16,6 @@
   RESEND_ELSEWHERE,
   LATE_ANSWER,
   DRAIN,
+  WITHDRAW,
   COLD_START
 }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/FaultPlan.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/FaultPlan.java
@@ -61,8 +61,8 @@
       case KILL_NODE -> node.kill();
       case KILL_ENTRY -> mesh.entries().getFirst().kill();
       case FREEZE_UPSTREAM -> upstream.freeze(FREEZE_MILLIS);
-      case FREEZE_NODE -> node.freeze(FREEZE_MILLIS);
-      case PAUSE_NODE_PAST_CLAIM -> node.freeze(LONG_PAUSE_MILLIS);
+      case FREEZE_NODE -> node.process().freeze(FREEZE_MILLIS);
+      case PAUSE_NODE_PAST_CLAIM -> node.process().freeze(LONG_PAUSE_MILLIS);
       case SILENT_LINK -> mesh.entries().getFirst().silence(upstream.id);
       case PLATFORM_DOWN -> outage(mesh, TableStandIn.Mode.DOWN);
       case WRITE_ANSWER_LOST -> outage(mesh, TableStandIn.Mode.ANSWER_LOST);
@@ -72,6 +72,7 @@
       }
       case RESEND_ELSEWHERE -> mesh.callers().resendElsewhere(send.request);
       case DRAIN -> node.drain();
+      case WITHDRAW -> node.withdraw();
       case COLD_START -> upstream.fallBackCold();
       default -> throw new IllegalStateException("unknown fault " + fault);
     }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Mesh.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Mesh.java
@@ -117,7 +117,7 @@
 
   void gossip(List<Suspicion> reports) {
     for (NodeModel node : nodes) {
-      node.deliver(spread(), () -> node.quarantine().merge(reports, queue.now()));
+      node.process().deliver(spread(), () -> node.quarantine().merge(reports, queue.now()));
     }
   }
 
@@ -141,7 +141,8 @@
     }
   }
 
-  private long spread() {
+  /** Draws how long it takes until one process knows what another tells. */
+  long spread() {
     return SPREAD_MILLIS / 3 + random.nextInt((int) (SPREAD_MILLIS * 2 / 3));
   }
 }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeClaims.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeClaims.java
@@ -47,7 +47,7 @@
       case ClaimDecision.RunAfterClaim _ -> {
         work.stage = Work.Stage.CLAIMING;
         claiming.put(key, work);
-        node.deliver(ClaimSettings.DEFAULT.batchWindowMillis(), this::pump);
+        node.process().deliver(ClaimSettings.DEFAULT.batchWindowMillis(), this::pump);
       }
       case ClaimDecision.Replay _ ->
           notRun(work, new Try.Reply.Whole(work.send().request.number()));
@@ -96,19 +96,20 @@
       mesh.table()
           .transact(
               batch.transaction(),
-              outcome -> node.deliver(0, () -> settled(batch.number(), outcome)));
+              outcome -> node.process().deliver(0, () -> settled(batch.number(), outcome)));
     }
     for (IdempotencyKey key : ledger.readsDue(mesh.queue().now())) {
       mesh.table()
           .read(
               RowKey.claim(key),
               outcome ->
-                  node.deliver(
-                      0,
-                      () ->
-                          ledger
-                              .readBack(key, outcome, mesh.queue().now())
-                              .ifPresent(this::resolve)));
+                  node.process()
+                      .deliver(
+                          0,
+                          () ->
+                              ledger
+                                  .readBack(key, outcome, mesh.queue().now())
+                                  .ifPresent(this::resolve)));
     }
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/NodeModel.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.admission.AdmissionRequest;
 import io.hemlockbend.core.admission.Dropped;
 import io.hemlockbend.core.admission.Grant;
+import io.hemlockbend.core.admission.PauseFence;
 import io.hemlockbend.core.admission.Permit;
 import io.hemlockbend.core.admission.RefusalReason;
 import io.hemlockbend.core.admission.RunOutcome;
@@ -21,7 +22,6 @@
 import io.hemlockbend.core.quarantine.QuarantineList;
 import io.hemlockbend.core.quarantine.Standing;
 import io.hemlockbend.core.retry.AttemptEnd;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,10 +31,11 @@
 final class NodeModel implements UpstreamModel.Listener {
   private static final long TICK_MILLIS = 20;
   private static final long NOTICE_MILLIS = 50;
+  private static final long CATCH_UP_MILLIS = 5;
 
   final UpstreamModel upstream;
   private final Mesh mesh;
-  private final List<Runnable> frozenWork = new ArrayList<>();
+  private final ProcessModel process;
   private final Map<Ticket, Work> queued = new HashMap<>();
   private final Map<Send, Work> works = new HashMap<>();
   private final int slots;
@@ -43,15 +44,16 @@
   private CrashTracker crashes;
   private QuarantineList quarantine = new QuarantineList();
   private DrainTracker drain;
+  private PauseFence fence;
   private boolean upstreamUp = true;
-  private boolean alive = true;
-  private boolean frozen;
   private boolean draining;
-  private int epoch;
+  private boolean withdrawalCommitted;
+  private boolean withdrawn;
 
   NodeModel(UpstreamModel upstream, Mesh mesh, int slots) {
     this.upstream = upstream;
     this.mesh = mesh;
+    this.process = new ProcessModel(mesh.queue());
     this.slots = slots;
     start();
   }
@@ -65,30 +67,21 @@
   }
 
   boolean alive() {
-    return alive;
+    return process.alive();
   }
 
   QuarantineList quarantine() {
     return quarantine;
   }
 
-  /** Runs an action in this process: at the thaw when it is frozen, never once it has died. */
-  void deliver(long delayMillis, Runnable action) {
-    int sentTo = epoch;
-    mesh.queue().in(delayMillis, () -> now(sentTo, action));
-  }
-
-  void freeze(long millis) {
-    frozen = true;
-    mesh.queue().in(millis, this::thaw);
+  /** Returns the process that it runs in. */
+  ProcessModel process() {
+    return process;
   }
 
   /** Kills the process; it starts again a while later and knows nothing. */
   void kill() {
-    alive = false;
-    frozen = false;
-    epoch++;
-    frozenWork.clear();
+    process.kill();
     queued.clear();
     List<Work> lost = List.copyOf(works.values());
     works.clear();
@@ -101,18 +94,26 @@
   void drain() {
     draining = true;
     drain.drain(mesh.queue().now());
-    mesh.trace(new TraceEvent.DrainBegan(mesh.queue().now(), id()));
-    mesh.announce(id(), false);
-    if (mesh.policies().refusesWhileDraining()) {
-      apply(admission.gate(gate(), mesh.queue().now()));
-    }
+    closed();
+  }
+
+  /** Commits the withdrawal of its failure domain, which comes to this process like to others. */
+  void withdraw() {
+    withdrawalCommitted = true;
+    mesh.queue().in(Mesh.SPREAD_MILLIS, this::traceClosed);
+    announceClosed();
+    process.deliver(
+        mesh.spread(),
+        () -> {
+          withdrawn = true;
+          apply(admission.gate(gate(), mesh.queue().now()));
+        });
   }
 
   /** Takes a try whose bytes have come. */
   void receive(Try attempt) {
     mesh.step(Step.ADMIT, attempt.send, upstream);
-    int sentTo = epoch;
-    now(sentTo, () -> admit(attempt));
+    process.run(() -> admit(attempt));
   }
 
   /** The entry closed the connection of a try. */
@@ -125,7 +126,7 @@
 
   @Override
   public void began(UpstreamModel.Run run) {
-    deliver(
+    process.deliver(
         0,
         () -> {
           Work work = works.get(run.send);
@@ -138,16 +139,14 @@
 
   @Override
   public void ended(UpstreamModel.Run run, UpstreamModel.End end) {
-    deliver(0, () -> runEnded(run, end));
+    process.deliver(0, () -> runEnded(run, end));
   }
 
   /** Runs work that has its slot and, when it needs one, its claim. */
   void run(Work work) {
     work.stage = Work.Stage.RUNNING;
     mesh.step(Step.RUN, work.send(), upstream);
-    int sentTo = epoch;
-    now(
-        sentTo,
+    process.run(
         () -> {
           if (works.get(work.send()) == work) {
             sendUnlessLate(work);
@@ -171,7 +170,10 @@
 
   private void sendUnlessLate(Work work) {
     long now = mesh.queue().now();
-    Optional<RefusalReason> refused = admission.recheck(request(work.send()), now);
+    Optional<RefusalReason> refused =
+        fence.closed(now)
+            ? Optional.of(RefusalReason.NOT_READY)
+            : admission.recheck(request(work.send()), now);
     if (refused.isPresent()) {
       claims.notSent(work);
       AttemptEnd end = new AttemptEnd.Refused(refused.get());
@@ -184,50 +186,52 @@
     upstream.run(work.send(), admittedMillis, this);
   }
 
+  private void closed() {
+    traceClosed();
+    announceClosed();
+    process.run(() -> apply(admission.gate(gate(), mesh.queue().now())));
+  }
+
+  private void announceClosed() {
+    if (mesh.policies().refusesOnceClosed()) {
+      mesh.announce(id(), false);
+    }
+  }
+
+  private void traceClosed() {
+    mesh.trace(new TraceEvent.Closed(mesh.queue().now(), id()));
+  }
+
   private void start() {
     long now = mesh.queue().now();
-    int generation = epoch;
+    withdrawn = withdrawalCommitted;
     admission =
         new AdmissionController(mesh.policies().admission(slots), gate(), upstream.start(), now);
-    claims = new NodeClaims(mesh, this, id() + ":" + generation);
+    claims = new NodeClaims(mesh, this, id() + ":" + process.starts());
     crashes = new CrashTracker(id());
     drain = mesh.policies().drain();
-    deliver(TICK_MILLIS, this::tick);
+    fence = mesh.policies().fence(now);
+    process.deliver(TICK_MILLIS, this::tick);
   }
 
   private void restart() {
     if (draining) {
       return;
     }
-    alive = true;
+    process.restart();
     quarantine = new QuarantineList();
     quarantine.merge(mesh.knownReports(), mesh.queue().now());
     upstreamUp = upstream.alive();
     start();
-    mesh.announce(id(), upstreamUp);
-  }
-
-  private void thaw() {
-    frozen = false;
-    List<Runnable> work = List.copyOf(frozenWork);
-    frozenWork.clear();
-    int sentTo = epoch;
-    work.forEach(action -> now(sentTo, action));
-  }
-
-  private void now(int sentTo, Runnable action) {
-    if (sentTo != epoch || !alive) {
-      return;
-    }
-    if (frozen) {
-      frozenWork.add(() -> now(sentTo, action));
-    } else {
-      action.run();
-    }
+    mesh.announce(id(), upstreamUp && !withdrawalCommitted);
   }
 
   private void tick() {
     long now = mesh.queue().now();
+    fence.ticked(now);
+    if (fence.closed(now)) {
+      process.deliver(CATCH_UP_MILLIS, () -> fence.caughtUp(mesh.queue().now()));
+    }
     noticeUpstream();
     apply(admission.expire(now));
     claims.expire(now);
@@ -241,7 +245,7 @@
       kill();
       return;
     }
-    deliver(TICK_MILLIS, this::tick);
+    process.deliver(TICK_MILLIS, this::tick);
   }
 
   private void noticeUpstream() {
@@ -249,18 +253,23 @@
       upstreamUp = upstream.alive();
       admission.started(upstream.start(), mesh.queue().now());
       apply(admission.gate(gate(), mesh.queue().now()));
-      mesh.announce(id(), upstreamUp && !draining);
+      mesh.announce(id(), upstreamUp && !draining && !withdrawalCommitted);
     }
   }
 
   private AdmissionGate gate() {
     EndpointState state = upstreamUp ? EndpointState.READY : EndpointState.DOWN;
-    boolean leaving = draining && mesh.policies().refusesWhileDraining();
-    return new AdmissionGate(
-        leaving ? EndpointState.DRAINING : state, Mesh.VERSION, false, false, 1);
+    boolean told = mesh.policies().refusesOnceClosed();
+    EndpointState leaving = draining && told ? EndpointState.DRAINING : state;
+    return new AdmissionGate(leaving, Mesh.VERSION, withdrawn && told, false, 1);
   }
 
   private void admit(Try attempt) {
+    if (fence.closed(mesh.queue().now())) {
+      AttemptEnd end = new AttemptEnd.Refused(RefusalReason.NOT_READY);
+      mesh.reply(attempt, new Try.Reply.Failed(end));
+      return;
+    }
     Work work = new Work(attempt);
     switch (admission.offer(request(attempt.send), mesh.queue().now())) {
       case AdmissionDecision.Refused(var reason) ->
@@ -293,8 +302,7 @@
     work.startedMillis = mesh.queue().now();
     work.counted = drain.begin();
     mesh.step(Step.CLAIM, work.send(), upstream);
-    int sentTo = epoch;
-    now(sentTo, () -> claims.begin(work));
+    process.run(() -> claims.begin(work));
   }
 
   private void apply(AdmissionChanges changes) {
@@ -367,7 +375,7 @@
     AttemptEnd end =
         work.began ? new AttemptEnd.Truncated(true) : new AttemptEnd.Broken(work.permit.alone());
     finish(work, RunOutcome.BROKEN, new Try.Reply.Failed(end));
-    deliver(NOTICE_MILLIS, this::reportCrash);
+    process.deliver(NOTICE_MILLIS, this::reportCrash);
   }
 
   private void reportCrash() {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Policies.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/Policies.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.testkit.matrix;
 
 import io.hemlockbend.core.admission.AdmissionSettings;
+import io.hemlockbend.core.admission.PauseFence;
 import io.hemlockbend.core.claim.BatchOutcome;
 import io.hemlockbend.core.drain.DrainTracker;
 import io.hemlockbend.core.quarantine.Standing;
@@ -39,13 +40,18 @@
     return standing;
   }
 
+  /** Returns what tells that a node was paused. */
+  default PauseFence fence(long nowMillis) {
+    return new PauseFence(200, nowMillis);
+  }
+
   /** Returns what follows the drain of a node. */
   default DrainTracker drain() {
     return new DrainTracker(500, 3_000);
   }
 
-  /** Returns whether admission is told of a drain. */
-  default boolean refusesWhileDraining() {
+  /** Returns whether admission and entries are told of a drain or withdrawal. */
+  default boolean refusesOnceClosed() {
     return true;
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/TraceChecks.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/TraceChecks.java
@@ -21,7 +21,7 @@
   private final Map<Line, Integer> broken = new EnumMap<>(Line.class);
   private final Map<Integer, Integer> runsOfRequest = new HashMap<>();
   private final Map<Integer, Integer> runsOfSend = new HashMap<>();
-  private final Map<UpstreamId, Long> drainedMillis = new HashMap<>();
+  private final Map<UpstreamId, Long> closedMillis = new HashMap<>();
   private final Map<Integer, Long> untold = new HashMap<>();
   private final Set<Integer> crashSends = new HashSet<>();
   private final Set<Integer> atAllCrashes = new HashSet<>();
@@ -48,8 +48,8 @@
       case TraceEvent.Ran ran -> ran(ran);
       case TraceEvent.Told told -> told(told);
       case TraceEvent.Crashed crashed -> crashed(crashed);
-      case TraceEvent.DrainBegan began ->
-          drainedMillis.putIfAbsent(began.upstream(), began.atMillis());
+      case TraceEvent.Closed closed ->
+          closedMillis.putIfAbsent(closed.upstream(), closed.atMillis());
       case TraceEvent.DrainDone(long _, int cut) -> {
         if (cut > 0) {
           broke(Line.DRAIN_CUTS_NOTHING);
@@ -68,18 +68,18 @@
     if (kind == Kind.KEYED && ofRequest > 1 || kind == Kind.UNSAFE && ofSend > 1) {
       broke(Line.AT_MOST_ONCE);
     }
-    checkDrain(ran);
+    checkClosed(ran);
     if (ran.request().number() == observed && ran.atMillis() > lastRunAllowedMillis) {
       broke(Line.CRASHES_BOUNDED);
     }
   }
 
-  /** Work admitted before the drain may still run; it is over within a few seconds. */
-  private void checkDrain(TraceEvent.Ran ran) {
-    Long drained = drainedMillis.get(ran.upstream());
-    boolean admittedLater = drained != null && ran.admittedMillis() > drained;
-    if (admittedLater || drained != null && ran.atMillis() > drained + LEAVE_MILLIS) {
-      broke(Line.NO_WORK_AFTER_DRAIN);
+  /** Work admitted before a drain or withdrawal may still run; it is over within a few seconds. */
+  private void checkClosed(TraceEvent.Ran ran) {
+    Long closed = closedMillis.get(ran.upstream());
+    boolean admittedLater = closed != null && ran.admittedMillis() > closed;
+    if (admittedLater || closed != null && ran.atMillis() > closed + LEAVE_MILLIS) {
+      broke(Line.NO_WORK_ONCE_CLOSED);
     }
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/TraceEvent.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/matrix/TraceEvent.java
@@ -30,8 +30,8 @@
   record Crashed(long atMillis, CallerRequest request, int send, Set<Integer> running)
       implements TraceEvent {}
 
-  /** An upstream's drain began. */
-  record DrainBegan(long atMillis, UpstreamId upstream) implements TraceEvent {}
+  /** An upstream's drain or the withdrawal of its failure domain began. */
+  record Closed(long atMillis, UpstreamId upstream) implements TraceEvent {}
 
   /** A drain was over and cut so many requests. */
   record DrainDone(long atMillis, int cut) implements TraceEvent {}
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/matrix/RequestMatrixTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/matrix/RequestMatrixTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.hemlockbend.core.admission.AdmissionSettings;
+import io.hemlockbend.core.admission.PauseFence;
 import io.hemlockbend.core.api.Priority;
 import io.hemlockbend.core.claim.BatchOutcome;
 import io.hemlockbend.core.drain.DrainTracker;
@@ -112,16 +113,49 @@
   @Test
   void catchesWorkThatIsTakenInADrain() {
     assertBreaks(
-        Line.NO_WORK_AFTER_DRAIN,
+        Line.NO_WORK_ONCE_CLOSED,
         Fault.DRAIN,
         new Policies() {
           @Override
-          public boolean refusesWhileDraining() {
+          public boolean refusesOnceClosed() {
             return false;
           }
         });
   }
 
+  @Test
+  void catchesWorkThatAWithdrawnDomainTakes() {
+    Policies open =
+        new Policies() {
+          @Override
+          public boolean refusesOnceClosed() {
+            return false;
+          }
+        };
+    assertBreaks(Line.NO_WORK_ONCE_CLOSED, Fault.WITHDRAW, open);
+  }
+
+  @Test
+  void catchesAPausedNodeThatTakesWorkForAWithdrawnDomain() {
+    List<Cell> cells =
+        List.of(new Cell(Step.SEND, Fault.FREEZE_NODE), new Cell(Step.SEND, Fault.WITHDRAW));
+    Policies unfenced =
+        new Policies() {
+          @Override
+          public PauseFence fence(long nowMillis) {
+            return new PauseFence(Long.MAX_VALUE, nowMillis);
+          }
+        };
+    Result broken = RequestMatrix.NO_RUN;
+    Result whole = RequestMatrix.NO_RUN;
+    for (int seed = 1; seed <= BROKEN_SEEDS; seed++) {
+      broken = broken.plus(RequestMatrix.run(cells, Kind.UNSAFE, seed, unfenced));
+      whole = whole.plus(RequestMatrix.run(cells, Kind.UNSAFE, seed, Policies.CORE));
+    }
+    assertThat(broken.broken()).containsKey(Line.NO_WORK_ONCE_CLOSED);
+    assertThat(whole.broken()).isEmpty();
+  }
+
   @Test
   void catchesADrainThatCuts() {
     assertBreaks(
