Clear suspicion by calls that end well; let the small share settle it

Suspicion now has a sum of its own that each good call fades by 2 %; the sum that condemns is as before. Steps up to 3 % open by their time under suspicion. Ruled out: to fade the condemning sum as fast, since a version that fails one call in a hundred would never be condemned.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/RouteTests.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/RouteTests.java
@@ -35,6 +35,11 @@
     return Math.max(failing.score(), Math.max(slow.score(), slowdown.score()));
   }
 
+  boolean suspicious() {
+    double most = Math.max(failing.recentScore(), slow.recentScore());
+    return Math.max(most, slowdown.score()) >= VersionComparison.SUSPICIOUS_SCORE;
+  }
+
   String worst() {
     double most = score();
     if (failing.score() == most) {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/evidence/VersionComparison.java
@@ -20,7 +20,7 @@
    */
   public static final double BAD_SCORE = 13.8;
 
-  /** The score from which on no further step opens. */
+  /** The score from which on a version is suspicious; calls that end well clear it fast. */
   public static final double SUSPICIOUS_SCORE = 3;
 
   /** How many calls a version needs to count as good. */
@@ -112,7 +112,7 @@
     if (worst >= BAD_SCORE) {
       return new Verdict.Bad(where);
     }
-    if (worst >= SUSPICIOUS_SCORE) {
+    if (all.suspicious() || routes.values().stream().anyMatch(RouteTests::suspicious)) {
       return new Verdict.NotEnough(true, where);
     }
     return missing()
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveController.java
@@ -131,11 +131,15 @@
     return switch (verdict) {
       case Verdict.Good good -> advance(move, next, good.reason());
       case Verdict.Bad bad -> takeBack(to, bad.reason());
-      case Verdict.NotEnough few when few.suspicious() ->
+      case Verdict.NotEnough few when few.suspicious() && next > MoveSchedule.SMALL_PERMILLE ->
           wait(move, WaitCause.SUSPICION, few.reason());
       case Verdict.NotEnough few when nowMillis < MoveSchedule.scarceMillis(move) ->
           wait(move, WaitCause.EVIDENCE, few.reason());
-      case Verdict.NotEnough few -> advance(move, next, "scarce traffic: " + few.reason());
+      case Verdict.NotEnough few ->
+          advance(
+              move,
+              next,
+              (few.suspicious() ? "small share to settle: " : "scarce traffic: ") + few.reason());
     };
   }
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveSchedule.java
@@ -13,6 +13,9 @@
    */
   public static final int HELD_PERMILLE = 600;
 
+  /** The share up to which steps open by time though something speaks against the version. */
+  public static final int SMALL_PERMILLE = 30;
+
   /** How long a step is in force at least before the next one opens. */
   public static final long SETTLE_MILLIS = 5_000;
 
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/evidence/VersionComparisonTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/evidence/VersionComparisonTest.java
@@ -79,6 +79,14 @@
     assertThat(verdict(1)).isInstanceOf(Verdict.NotEnough.class);
   }
 
+  @Test
+  void callsThatEndWellClearSuspicion() {
+    oneAccidentDoesNotCondemn(15);
+    assertThat(((Verdict.NotEnough) verdict(2)).suspicious()).isTrue();
+    secondsToBad(3, 0, 0, 20);
+    assertThat(verdict(6)).isInstanceOf(Verdict.Good.class);
+  }
+
   @Test
   void faultOnOneRouteIsFoundBesideHealthyRoutes() {
     int found = Integer.MAX_VALUE;
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/rollout/MoveControllerTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/rollout/MoveControllerTest.java
@@ -110,6 +110,14 @@
     assertThat(cause(decide(now + 1000))).isEqualTo(WaitCause.SUSPICION);
   }
 
+  @Test
+  void suspicionDoesNotHoldTheSmallShareThatSettlesIt() {
+    controller.onConfiguration(Configurations.moving(10), 0);
+    long now = MOVE_MILLIS / 2;
+    report(now, 1, 0, 12);
+    assertThat(decide(now + 1000).reason()).startsWith("small share to settle");
+  }
+
   @Test
   void brakeIsMadeDurable() {
     Configuration configuration = Configurations.moving(10);
