--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/distribution/DistributorTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/distribution/DistributorTest.java
@@ -97,7 +97,7 @@
   @Test
   void olderAndRepeatedBodiesAreDropped() {
     holding(3);
-    for (int version = 1; version <= 3; version++) {
+    for (int version = 3; version >= 1; version--) {
       Body late = new Body(id(2), mark(version), configuration(version));
       assertThat(only(distributor.receive(late, now), Apply.class)).isEmpty();
     }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
@@ -27,6 +27,7 @@
 /** A node: the real membership and distribution, and the shell that carries out their effects. */
 final class MeshNode {
   private static final long TICK_MILLIS = 100;
+  private static final long UNREACHABLE_MILLIS = 50;
 
   private final NodeSite site;
   private final MeshEnvironment environment;
@@ -160,7 +161,9 @@
     VersionMark mark = new VersionMark(result.version(), environment.digester().digest(result));
     environment.step(Step.COMMIT, this);
     Runnable accepted = () -> perform(distributor.accepted(mark, result, changes, now()));
-    environment.table().commit(mark, result, changes, ofThisProcess(accepted));
+    if (environment.channel().reachesPlatform(this)) {
+      environment.table().commit(mark, result, changes, ofThisProcess(accepted));
+    }
   }
 
   Configuration configuration() {
@@ -264,34 +267,49 @@
   }
 
   private void readCurrent() {
-    environment
-        .table()
-        .readCurrent(
-            answer(row -> distributor.currentRead(row, now())),
-            failure(() -> distributor.currentUnavailable(now())));
+    callPlatform(
+        table ->
+            table.readCurrent(
+                answer(row -> distributor.currentRead(row, now())),
+                failure(() -> distributor.currentUnavailable(now()))),
+        () -> distributor.currentUnavailable(now()));
   }
 
   private void readHistory(DistributionEffect.ReadHistory rows) {
-    environment
-        .table()
-        .readHistory(
-            rows.after(),
-            rows.last(),
-            answer(found -> distributor.historyRead(found, now())),
-            failure(() -> distributor.historyUnavailable(now())));
+    callPlatform(
+        table ->
+            table.readHistory(
+                rows.after(),
+                rows.last(),
+                answer(found -> distributor.historyRead(found, now())),
+                failure(() -> distributor.historyUnavailable(now()))),
+        () -> distributor.historyUnavailable(now()));
   }
 
   private void fetch(DistributionEffect.FetchBody fetch) {
-    environment
-        .table()
-        .fetch(
-            fetch.digest(),
-            answer(
-                found ->
-                    found.isPresent()
-                        ? distributor.bodyFetched(fetch.digest(), found.get(), now())
-                        : distributor.bodyUnavailable(fetch.digest(), now())),
-            failure(() -> distributor.bodyUnavailable(fetch.digest(), now())));
+    callPlatform(
+        table ->
+            table.fetch(
+                fetch.digest(),
+                answer(found -> fetched(fetch, found)),
+                failure(() -> distributor.bodyUnavailable(fetch.digest(), now()))),
+        () -> distributor.bodyUnavailable(fetch.digest(), now()));
+  }
+
+  private List<DistributionEffect> fetched(
+      DistributionEffect.FetchBody fetch, Optional<Configuration> found) {
+    return found.isPresent()
+        ? distributor.bodyFetched(fetch.digest(), found.get(), now())
+        : distributor.bodyUnavailable(fetch.digest(), now());
+  }
+
+  private void callPlatform(
+      Consumer<MeshTable> call, Supplier<List<DistributionEffect>> unreachable) {
+    if (environment.channel().reachesPlatform(this)) {
+      call.accept(environment.table());
+    } else {
+      environment.queue().afterMillis(UNREACHABLE_MILLIS, failure(unreachable));
+    }
   }
 
   private <T> Consumer<T> answer(Function<T, List<DistributionEffect>> take) {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MessageChannel.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MessageChannel.java
@@ -30,6 +30,7 @@
   private final Conditions conditions;
   private final Map<NodeAddress, MeshNode> receivers = new HashMap<>();
   private final Set<MeshNode> apart = new HashSet<>();
+  private final Set<MeshNode> platformless = new HashSet<>();
 
   MessageChannel(EventQueue queue, RandomGenerator random, Conditions conditions) {
     this.queue = queue;
@@ -46,8 +47,19 @@
     apart.addAll(group);
   }
 
+  /** Cuts these nodes, taken together, from all others and from the platform. */
+  void cutWithPlatform(Set<MeshNode> group) {
+    cut(group);
+    platformless.addAll(group);
+  }
+
+  boolean reachesPlatform(MeshNode node) {
+    return !platformless.contains(node);
+  }
+
   void heal() {
     apart.clear();
+    platformless.clear();
   }
 
   void send(MeshNode from, Outbound outbound) {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/ScheduledMesh.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/ScheduledMesh.java
@@ -120,6 +120,11 @@
     node.commit(next, ChangeApplier.apply(base, next));
   }
 
+  /** Cuts a failure domain from the others and from the platform. */
+  void cutWithPlatform(MeshNode node) {
+    channel.cutWithPlatform(domainOf(node));
+  }
+
   void healCuts() {
     channel.heal();
   }
