Keep gossip within the byte budget also in storms, and measure churn

With fresh news all the time a node sends 10 gossip and 2 ping messages a second; at 6 claims of 125 bytes each that was 10.1 KB/s out, at 4 it is 7.2 KB/s. mesh-bench restarts nodes as often as 3,100 that each restart once a day, and nodes announce an endpoint.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MembershipSettings.java
@@ -55,5 +55,5 @@
 
   /** The bounds for meshes of up to some thousand nodes. */
   public static final MembershipSettings DEFAULT =
-      new MembershipSettings(1_000, 400, 3, 5_000, 200, 2, 6, 10_000, 7_200_000);
+      new MembershipSettings(1_000, 400, 3, 5_000, 200, 2, 4, 10_000, 7_200_000);
 }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRow.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRow.java
@@ -8,7 +8,7 @@
  *
  * @param way the name of the way
  * @param nodes how many nodes
- * @param phase idle or changing
+ * @param phase idle, churning or changing
  * @param convergence milliseconds from acceptance to in force, of each node and change, sorted
  * @param missing how many pairs of node and change never came into force
  * @param bytesPerNodeSecond bytes sent by a node a second; as many are received
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRun.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/BenchRun.java
@@ -14,6 +14,8 @@
 
   private static final long SETTLE_MILLIS = 60_000;
   private static final long CHANGES_A_DAY = 7_000;
+  private static final long RESTARTS_A_DAY = 3_100;
+  private static final int RESTARTS = 3;
   private static final long DAY_MILLIS = 86_400_000;
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -81,16 +83,30 @@
     queue.runUntilMillis(SETTLE_MILLIS + idleMillis);
     Snapshot idle = ofMesh();
     Snapshot idleBaseline = ofBaseline();
+    churn();
+    Snapshot churned = ofMesh();
+    Snapshot churnedBaseline = ofBaseline();
     int before = mesh.log().accepted().size();
     change();
     List<BenchRow> rows = new ArrayList<>();
     rows.add(row(MESH, "idle", settled, idle, List.of(), 0));
     rows.add(row(BASELINE, "idle", settledBaseline, idleBaseline, List.of(), 0));
-    rows.add(changing(MESH, mesh.log(), idle, ofMesh(), before));
-    rows.add(changing(BASELINE, baseline.log(), idleBaseline, ofBaseline(), before));
+    rows.add(row(MESH, "churning", idle, churned, List.of(), 0));
+    rows.add(changing(MESH, mesh.log(), churned, ofMesh(), before));
+    rows.add(changing(BASELINE, baseline.log(), churnedBaseline, ofBaseline(), before));
     return rows;
   }
 
+  /** Restarts nodes one after the other, as often as 3,100 nodes that each restart once a day. */
+  private void churn() {
+    EventQueue queue = mesh.queue();
+    for (int restart = 0; restart < RESTARTS; restart++) {
+      MeshNode node = mesh.nodes().get(random.nextInt(size));
+      mesh.strike(Fault.RESTART, node);
+      queue.runUntilMillis(queue.millis() + DAY_MILLIS / RESTARTS_A_DAY);
+    }
+  }
+
   private void change() {
     EventQueue queue = mesh.queue();
     for (int change = 0; change < changes; change++) {
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
@@ -1,12 +1,19 @@
 package io.hemlockbend.testkit.schedule;
 
 import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.Region;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.StartId;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.distribution.DistributionEffect;
 import io.hemlockbend.core.distribution.Distributor;
 import io.hemlockbend.core.membership.Membership;
@@ -27,6 +34,7 @@
 /** A node: the real membership and distribution, and the shell that carries out their effects. */
 final class MeshNode {
   private static final long TICK_MILLIS = 100;
+  private static final int SLOTS = 10;
   private static final long UNREACHABLE_MILLIS = 50;
 
   private final NodeSite site;
@@ -115,11 +123,22 @@
     distributor =
         new Distributor(
             site.id(), site.domain(), environment.settings(), environment.digester(), random);
+    membership.endpoint(Optional.of(endpoint()));
     environment.step(Step.JOIN, this);
     run(() -> send(membership.join(seeds, now())));
     schedule(random.nextLong(TICK_MILLIS), this::tick);
   }
 
+  private Endpoint endpoint() {
+    VersionKey key = new VersionKey(new ServiceName("service-0"), new VersionName("v1"));
+    return new Endpoint(
+        new UpstreamId("upstream-of-" + site.id()),
+        new StartId("start-" + start),
+        key,
+        EndpointState.READY,
+        SLOTS);
+  }
+
   void kill() {
     up = false;
   }
