Search peers in the list of members instead of copying them into a map

At 3,100 nodes the measurement ran out of 8 GB: each node kept a second map of all addresses, built anew with each change of the members. An address is looked up some twenty times a change, so a search costs less than the map.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/PeerSelector.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/distribution/PeerSelector.java
@@ -6,10 +6,9 @@
 import io.hemlockbend.core.api.NodeId;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -20,12 +19,13 @@
  */
 final class PeerSelector {
   private static final int SUCCESSORS = 2;
+  private static final Comparator<Member> BY_ID = Comparator.comparing(Member::id);
 
   private final NodeId self;
   private final RandomGenerator random;
-  private final Map<NodeId, NodeAddress> addresses = new HashMap<>();
-  private final List<NodeId> live = new ArrayList<>();
-  private final List<NodeId> successors = new ArrayList<>();
+  private List<Member> others = List.of();
+  private List<Member> live = List.of();
+  private List<NodeId> successors = List.of();
 
   PeerSelector(NodeId self, RandomGenerator random) {
     this.self = self;
@@ -33,18 +33,9 @@
   }
 
   void members(Collection<Member> members) {
-    addresses.clear();
-    live.clear();
-    for (Member member : members) {
-      if (member.id().equals(self)) {
-        continue;
-      }
-      addresses.put(member.id(), member.control());
-      if (member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.SUSPECT) {
-        live.add(member.id());
-      }
-    }
-    successors.clear();
+    others = members.stream().filter(member -> !member.id().equals(self)).toList();
+    live = others.stream().filter(PeerSelector::live).toList();
+    successors = new ArrayList<>();
     NodeId from = self;
     for (int step = 0; step < Math.min(SUCCESSORS, live.size()); step++) {
       from = successor(from);
@@ -52,26 +43,29 @@
     }
   }
 
+  private static boolean live(Member member) {
+    return member.status() == MemberStatus.ALIVE || member.status() == MemberStatus.SUSPECT;
+  }
+
   private NodeId successor(NodeId from) {
-    NodeId next = null;
-    NodeId first = null;
-    for (NodeId id : live) {
-      if (id.compareTo(from) > 0 && (next == null || id.compareTo(next) < 0)) {
-        next = id;
-      }
-      if (first == null || id.compareTo(first) < 0) {
-        first = id;
-      }
-    }
-    return next == null ? first : next;
+    return live.stream()
+        .filter(member -> member.id().compareTo(from) > 0)
+        .min(BY_ID)
+        .or(() -> live.stream().min(BY_ID))
+        .map(Member::id)
+        .orElse(from);
   }
 
+  /** Returns where a peer takes control messages; a search is cheaper than a map for each node. */
   Optional<NodeAddress> address(NodeId id) {
-    return Optional.ofNullable(addresses.get(id));
+    return others.stream()
+        .filter(member -> member.id().equals(id))
+        .findFirst()
+        .map(Member::control);
   }
 
   boolean reachable(NodeId id) {
-    return addresses.containsKey(id);
+    return address(id).isPresent();
   }
 
   int liveCount() {
@@ -82,7 +76,7 @@
   Set<NodeId> targets(int fanout) {
     Set<NodeId> targets = new LinkedHashSet<>(successors);
     for (int draw = 0; draw < Math.min(fanout, live.size()); draw++) {
-      targets.add(live.get(random.nextInt(live.size())));
+      targets.add(live.get(random.nextInt(live.size())).id());
     }
     return targets;
   }
