Count a newer record of this node as a change of the view

The node passes the record on when changes() grows. A record that came with a claim of a lower incarnation did not make it grow, so that a new process without the platform could have missed it.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MemberView.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/MemberView.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.core.membership;
 
+import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.Endpoint;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
@@ -93,8 +94,11 @@
   }
 
   private void refute(Member claim) {
+    ConfigurationVersion recorded = self.recorded();
     if (self.refute(claim) && self.member().status() != MemberStatus.LEFT) {
       selfChanged();
+    } else if (self.recorded().newerThan(recorded)) {
+      selfChanges++;
     }
   }
 
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
@@ -186,7 +186,10 @@
     return view.self().member();
   }
 
-  /** Returns a counter that grows when a status, an address or an endpoint changes. */
+  /**
+   * Returns a counter that grows when a status, an address or an endpoint changes, and when peers
+   * recorded a newer version for this node than was known.
+   */
   public long changes() {
     return view.changes();
   }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
@@ -167,6 +167,10 @@
     Membership again = start(2);
     assertThat(first.find(again.self().id()).orElseThrow().applied()).isEqualTo(MARK_2.version());
     assertThat(again.recordedApplied()).isEqualTo(MARK_2.version());
+    long before = again.changes();
+    Member newer = again.self().withApplied(new ConfigurationVersion(3));
+    again.receive(new Members(first.self().id(), MARK_2, List.of(newer)), now);
+    assertThat(again.changes()).as("tells that the record grew").isGreaterThan(before);
   }
 
   @Test
