--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/schedule/MeshNode.java
@@ -1,12 +1,19 @@
 package io.hemlockbend.testkit.schedule;
 
 import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Endpoint;
+import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.api.NodeAddress;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.Region;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.StartId;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.distribution.DistributionEffect;
 import io.hemlockbend.core.distribution.Distributor;
 import io.hemlockbend.core.membership.Membership;
@@ -27,6 +34,8 @@
 /** A node: the real membership and distribution, and the shell that carries out their effects. */
 final class MeshNode {
   private static final long TICK_MILLIS = 100;
+  private static final int SLOTS = 10;
+  private static final long UNREACHABLE_MILLIS = 50;
 
   private final NodeSite site;
   private final MeshEnvironment environment;
@@ -114,11 +123,22 @@
     distributor =
         new Distributor(
             site.id(), site.domain(), environment.settings(), environment.digester(), random);
+    membership.endpoint(Optional.of(endpoint()));
     environment.step(Step.JOIN, this);
     run(() -> send(membership.join(seeds, now())));
     schedule(random.nextLong(TICK_MILLIS), this::tick);
   }
 
+  private Endpoint endpoint() {
+    VersionKey key = new VersionKey(new ServiceName("service-0"), new VersionName("v1"));
+    return new Endpoint(
+        new UpstreamId("upstream-of-" + site.id()),
+        new StartId("start-" + start),
+        key,
+        EndpointState.READY,
+        SLOTS);
+  }
+
   void kill() {
     up = false;
   }
@@ -160,7 +180,9 @@
     VersionMark mark = new VersionMark(result.version(), environment.digester().digest(result));
     environment.step(Step.COMMIT, this);
     Runnable accepted = () -> perform(distributor.accepted(mark, result, changes, now()));
-    environment.table().commit(mark, result, changes, ofThisProcess(accepted));
+    if (environment.channel().reachesPlatform(this)) {
+      environment.table().commit(mark, result, changes, ofThisProcess(accepted));
+    }
   }
 
   Configuration configuration() {
@@ -264,34 +286,49 @@
   }
 
   private void readCurrent() {
-    environment
-        .table()
-        .readCurrent(
-            answer(row -> distributor.currentRead(row, now())),
-            failure(() -> distributor.currentUnavailable(now())));
+    callPlatform(
+        table ->
+            table.readCurrent(
+                answer(row -> distributor.currentRead(row, now())),
+                failure(() -> distributor.currentUnavailable(now()))),
+        () -> distributor.currentUnavailable(now()));
   }
 
   private void readHistory(DistributionEffect.ReadHistory rows) {
-    environment
-        .table()
-        .readHistory(
-            rows.after(),
-            rows.last(),
-            answer(found -> distributor.historyRead(found, now())),
-            failure(() -> distributor.historyUnavailable(now())));
+    callPlatform(
+        table ->
+            table.readHistory(
+                rows.after(),
+                rows.last(),
+                answer(found -> distributor.historyRead(found, now())),
+                failure(() -> distributor.historyUnavailable(now()))),
+        () -> distributor.historyUnavailable(now()));
   }
 
   private void fetch(DistributionEffect.FetchBody fetch) {
-    environment
-        .table()
-        .fetch(
-            fetch.digest(),
-            answer(
-                found ->
-                    found.isPresent()
-                        ? distributor.bodyFetched(fetch.digest(), found.get(), now())
-                        : distributor.bodyUnavailable(fetch.digest(), now())),
-            failure(() -> distributor.bodyUnavailable(fetch.digest(), now())));
+    callPlatform(
+        table ->
+            table.fetch(
+                fetch.digest(),
+                answer(found -> fetched(fetch, found)),
+                failure(() -> distributor.bodyUnavailable(fetch.digest(), now()))),
+        () -> distributor.bodyUnavailable(fetch.digest(), now()));
+  }
+
+  private List<DistributionEffect> fetched(
+      DistributionEffect.FetchBody fetch, Optional<Configuration> found) {
+    return found.isPresent()
+        ? distributor.bodyFetched(fetch.digest(), found.get(), now())
+        : distributor.bodyUnavailable(fetch.digest(), now());
+  }
+
+  private void callPlatform(
+      Consumer<MeshTable> call, Supplier<List<DistributionEffect>> unreachable) {
+    if (environment.channel().reachesPlatform(this)) {
+      call.accept(environment.table());
+    } else {
+      environment.queue().afterMillis(UNREACHABLE_MILLIS, failure(unreachable));
+    }
   }
 
   private <T> Consumer<T> answer(Function<T, List<DistributionEffect>> take) {
