Follow a commit by a small answer instead of the whole report

--wait asked /v1/show five times a second, whose answer grows with the nodes and reads the table each time. /v1/progress counts instead, names ten laggards at most, and reads nothing but memory.

--- a/hemlockbend-cli/src/test/java/io/hemlockbend/cli/HemlockbendMainTest.java
+++ b/hemlockbend-cli/src/test/java/io/hemlockbend/cli/HemlockbendMainTest.java
@@ -2,11 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.net.httpserver.HttpServer;
+import io.hemlockbend.codec.JsonCodec;
+import io.hemlockbend.core.administration.AdminAnswer;
+import io.hemlockbend.core.administration.AdminPaths;
+import io.hemlockbend.core.api.CommitId;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.Digest;
+import io.hemlockbend.core.api.NodeId;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import picocli.CommandLine;
@@ -75,6 +85,45 @@
     }
   }
 
+  @Test
+  void acceptedButNotSeenEverywhereHasItsOwnExitCode() throws IOException {
+    JsonCodec codec = new JsonCodec();
+    ConfigurationVersion version = new ConfigurationVersion(4);
+    CommitId commit = new CommitId("c");
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4);
+    answer(
+        server,
+        AdminPaths.COMMIT,
+        codec.encode(
+            new AdminAnswer.Accepted(commit, version, new Digest("0".repeat(64)), List.of())));
+    answer(
+        server,
+        AdminPaths.PROGRESS,
+        codec.encode(new AdminAnswer.Progress(version, true, 2, 1, List.of(new NodeId("n9")))));
+    server.start();
+    Map<String, String> environment =
+        Map.of(
+            "HEMLOCKBEND_NODE", "127.0.0.1:" + server.getAddress().getPort(),
+            "HEMLOCKBEND_TOKEN", "t",
+            "HEMLOCKBEND_TIMEOUT", "500ms",
+            "HEMLOCKBEND_WAIT", "true");
+    assertThat(run(environment, "commit")).isEqualTo(ExitCodes.NOT_EVERYWHERE);
+    assertThat(out.toString()).contains("accepted as version 4");
+    assertThat(err.toString()).contains("in force on 1 of 2 live nodes", "n9");
+    server.stop(0);
+  }
+
+  private static void answer(HttpServer server, String path, byte[] body) {
+    server.createContext(
+        path,
+        exchange -> {
+          exchange.sendResponseHeaders(200, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+  }
+
   /** Reads a request and closes the connection without an answer. */
   private static void hangUp(ServerSocket socket) {
     try {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminAnswer.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminAnswer.java
@@ -130,6 +130,24 @@
       ConfigurationVersion applied,
       boolean lagging) {}
 
+  /**
+   * How far a version has come.
+   *
+   * @param version the version
+   * @param here whether this node has it or a newer one in force
+   * @param live how many live nodes there are
+   * @param holding how many of them are known to have it or a newer one in force
+   * @param lagging some of the others
+   */
+  public record Progress(
+      ConfigurationVersion version, boolean here, int live, int holding, List<NodeId> lagging) {
+
+    /** Returns whether the version is in force on every live node. */
+    public boolean everywhere() {
+      return here && holding == live;
+    }
+  }
+
   /**
    * Accepted versions.
    *
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminPaths.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/AdminPaths.java
@@ -32,6 +32,9 @@
   /** Shows what is in force, and where. */
   public static final String SHOW = "/v1/show";
 
+  /** Tells how far a version has come. */
+  public static final String PROGRESS = "/v1/progress";
+
   /** Lists accepted versions. */
   public static final String HISTORY = "/v1/history";
 
@@ -44,5 +47,8 @@
   /** The query parameter of {@link #EXPLAIN}: the request's id. */
   public static final String REQUEST = "request";
 
+  /** The query parameter of {@link #PROGRESS}: the version's number. */
+  public static final String VERSION = "version";
+
   private AdminPaths() {}
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/ShowReport.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/administration/ShowReport.java
@@ -9,6 +9,7 @@
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.api.MemberStatus;
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.message.PeerMessage.VersionMark;
 import io.hemlockbend.core.model.Configuration;
@@ -24,6 +25,8 @@
 
 /** Reports what is in force, and where, from what one node knows. */
 public final class ShowReport {
+  private static final int MAX_NAMED = 10;
+
   private final VersionMark inForce;
   private final Configuration configuration;
   private final Optional<ConfigurationVersion> newestAccepted;
@@ -60,6 +63,23 @@
         members.stream().map(this::node).toList());
   }
 
+  /**
+   * Returns how far a version has come; nodes that are suspected are left out.
+   *
+   * @param version the version
+   */
+  public AdminAnswer.Progress progress(ConfigurationVersion version) {
+    List<Member> live = members.stream().filter(m -> m.status() == MemberStatus.ALIVE).toList();
+    List<NodeId> lagging =
+        live.stream().filter(m -> version.newerThan(m.applied())).map(Member::id).toList();
+    return new AdminAnswer.Progress(
+        version,
+        !version.newerThan(inForce.version()),
+        live.size(),
+        live.size() - lagging.size(),
+        lagging.subList(0, Math.min(MAX_NAMED, lagging.size())));
+  }
+
   private ServiceLine service(Service service) {
     Optional<Move> move = Optional.ofNullable(configuration.moves().get(service.name()));
     List<VersionLine> versions =
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/administration/ShowReportTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/administration/ShowReportTest.java
@@ -67,17 +67,7 @@
 
   @Test
   void tellsSharesUpstreamsDomainsAndWhichNodesLag() {
-    VersionMark mark = new VersionMark(AFTER.version(), new Digest("0".repeat(64)));
-    AdminAnswer.Show show =
-        new ShowReport(
-                mark,
-                AFTER,
-                Optional.of(new ConfigurationVersion(3)),
-                List.of(
-                    member("c", MemberStatus.DEAD, 1),
-                    member("b", MemberStatus.ALIVE, 2),
-                    member("a", MemberStatus.ALIVE, 3)))
-            .show();
+    AdminAnswer.Show show = report().show();
     assertThat(show.services().getFirst().versions())
         .extracting(
             v -> v.version() + " " + v.state() + " " + v.sharePermille() + " " + v.upstreams())
@@ -91,6 +81,27 @@
         .containsExactly("a false", "b true", "c false");
   }
 
+  @Test
+  void progressCountsLiveNodesThatHoldTheVersion() {
+    AdminAnswer.Progress progress = report().progress(new ConfigurationVersion(3));
+    assertThat(progress.everywhere()).isFalse();
+    assertThat(progress.lagging()).containsExactly(new NodeId("b"));
+    assertThat(report().progress(new ConfigurationVersion(2)).everywhere()).isTrue();
+    assertThat(report().progress(new ConfigurationVersion(1)).holding()).isEqualTo(2);
+  }
+
+  private static ShowReport report() {
+    VersionMark mark = new VersionMark(AFTER.version(), new Digest("0".repeat(64)));
+    return new ShowReport(
+        mark,
+        AFTER,
+        Optional.of(new ConfigurationVersion(3)),
+        List.of(
+            member("c", MemberStatus.DEAD, 1),
+            member("b", MemberStatus.ALIVE, 2),
+            member("a", MemberStatus.ALIVE, 3)));
+  }
+
   @Test
   void diffNamesEveryPartThatDiffers() {
     assertThat(ConfigurationDiff.between(BEFORE, AFTER))
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationService.java
@@ -121,8 +121,16 @@
   }
 
   private AdminAnswer.Show show(Optional<ConfigurationVersion> newestAccepted) {
-    return new ShowReport(mesh.inForce(), mesh.configuration(), newestAccepted, mesh.members())
-        .show();
+    return report(newestAccepted).show();
+  }
+
+  private ShowReport report(Optional<ConfigurationVersion> newestAccepted) {
+    return new ShowReport(mesh.inForce(), mesh.configuration(), newestAccepted, mesh.members());
+  }
+
+  /** Tells how far a version has come; works while the platform is away. */
+  public CompletableFuture<AdminAnswer.Progress> progress(ConfigurationVersion version) {
+    return CompletableFuture.completedFuture(report(Optional.empty()).progress(version));
   }
 
   /** Lists the newest accepted versions. */
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/CommandTable.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/CommandTable.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.administration.AdminRequest;
 import io.hemlockbend.core.administration.AdminRequest.CommitTag;
 import io.hemlockbend.core.administration.ProblemKey;
+import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.api.RequestId;
 import io.hemlockbend.core.model.Change;
 import java.util.List;
@@ -29,6 +30,7 @@
     this.codec = codec;
     ask(AdminPaths.DIFF, (operator, input) -> service.diff(operator));
     ask(AdminPaths.SHOW, (operator, input) -> service.show());
+    ask(AdminPaths.PROGRESS, (operator, input) -> service.progress(version(input)));
     ask(AdminPaths.HISTORY, (operator, input) -> service.history(limit(input)));
     ask(AdminPaths.EXPLAIN, (operator, input) -> service.explain(request(input)));
     change(AdminPaths.STAGE, this::stage);
@@ -115,6 +117,15 @@
     return Integer.parseInt(text);
   }
 
+  private static ConfigurationVersion version(CommandInput input) {
+    String text = input.query().getValue(AdminPaths.VERSION);
+    if (text == null || !text.matches("[0-9]{1,18}")) {
+      throw AdministrationException.of(
+          ProblemKey.MALFORMED, AdminPaths.VERSION + " must be the number of a version");
+    }
+    return new ConfigurationVersion(Long.parseLong(text));
+  }
+
   private static RequestId request(CommandInput input) {
     try {
       return new RequestId(input.query().getValue(AdminPaths.REQUEST));
--- a/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
+++ b/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
@@ -210,6 +210,7 @@
     assertThat(api.postBytes(TEAM, AdminPaths.STAGE, new byte[] {'{'}).status()).isEqualTo(400);
     assertThat(api.get(TEAM, AdminPaths.HISTORY + "?limit=0").status()).isEqualTo(400);
     assertThat(api.get(TEAM, AdminPaths.EXPLAIN).status()).isEqualTo(400);
+    assertThat(api.get(TEAM, AdminPaths.PROGRESS + "?version=x").status()).isEqualTo(400);
     assertThat(api.get(TEAM, "/v1/nothing").status()).isEqualTo(404);
     assertThat(api.get(TEAM, AdminPaths.COMMIT).status()).isEqualTo(405);
   }
