Never call a commit not accepted whose commit row was seen

When the commit row was there and its history row could not be read before the tries were used up, the operator was told PLATFORM_AWAY, that is not accepted, and a missing history row ended the settlement with an error of the language.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
@@ -55,6 +55,7 @@
   private TransactionOutcome.Conflicted conflicted;
   private CommitOutcome closingWith;
   private boolean unsettled;
+  private boolean readingAccepted;
   private int plans;
 
   /**
@@ -95,7 +96,10 @@
     return switch (event) {
       case SettlementEvent.Failed failed -> failed(failed);
       case SettlementEvent.Waited waited -> emit(afterWait());
-      case SettlementEvent.RowRead(Optional<Row> row) -> emit(rowRead(row));
+      case SettlementEvent.RowRead(Optional<Row> row) ->
+          row.isEmpty() && readingAccepted
+              ? failed(new SettlementEvent.Failed(false, "an accepted version has no history"))
+              : emit(rowRead(row));
       case SettlementEvent.HistoryRead(List<RowValue.History> rows) -> emit(historyRead(rows));
       case SettlementEvent.BodyFetched(Optional<Configuration> body) ->
           body.isPresent()
@@ -150,6 +154,8 @@
   private SettlementStep commitFound(Row row) {
     ConfigurationVersion version = ((RowValue.Committed) row.value()).version();
     if (!version.equals(ConfigurationVersion.NONE)) {
+      unsettled = true;
+      readingAccepted = true;
       return new SettlementStep.ReadRow(RowKey.history(version));
     }
     return new SettlementStep.Done(
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitSettlementTest.java
@@ -0,0 +1,75 @@
+package io.hemlockbend.core.acceptance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.CommitId;
+import io.hemlockbend.core.api.ConfigurationVersion;
+import io.hemlockbend.core.api.TeamName;
+import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.core.table.Row;
+import io.hemlockbend.core.table.RowKey;
+import io.hemlockbend.core.table.RowValue;
+import io.hemlockbend.core.validation.ConfigurationChecker;
+import io.hemlockbend.core.validation.ViolationKey;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class CommitSettlementTest {
+  private static final CommitId COMMIT = new CommitId("c1");
+  private static final ConfigurationVersion ONE = new ConfigurationVersion(1);
+  private static final SettlementEvent FAILED = new SettlementEvent.Failed(false, "away");
+  private static final Row COMMITTED =
+      new Row(RowKey.commit(COMMIT), 1, new RowValue.Committed(COMMIT, ONE));
+
+  private final CommitSettlement settlement =
+      new CommitSettlement(
+          new CommitPlanner(ConfigurationChecker.forAcceptance(), FakeTable::digest),
+          new CommitOrder(
+              COMMIT, new Author("amel", new TeamName("t"), true), 10, Set.of(), List.of()),
+          Optional.empty(),
+          false,
+          new RetryBudget(1, new Random(1)));
+
+  private SettlementStep read(Row row) {
+    return settlement.on(new SettlementEvent.RowRead(Optional.ofNullable(row)));
+  }
+
+  private static CommitOutcome outcome(SettlementStep step) {
+    return ((SettlementStep.Done) step).outcome();
+  }
+
+  @Test
+  void platformThatIsAwayFromTheStartMeansNotAccepted() {
+    settlement.start();
+    assertThat(settlement.on(FAILED)).isInstanceOf(SettlementStep.Wait.class);
+    assertThat(settlement.on(new SettlementEvent.Waited()))
+        .isEqualTo(new SettlementStep.ReadRow(RowKey.CURRENT));
+    assertThat(outcome(settlement.on(FAILED))).isInstanceOf(CommitOutcome.Unavailable.class);
+  }
+
+  @Test
+  void acceptedCommitWhoseHistoryCannotBeReadIsNeverCalledNotAccepted() {
+    settlement.start();
+    read(null);
+    assertThat(read(COMMITTED)).isEqualTo(new SettlementStep.ReadRow(RowKey.history(ONE)));
+    assertThat(settlement.on(FAILED)).isInstanceOf(SettlementStep.Wait.class);
+    settlement.on(new SettlementEvent.Waited());
+    assertThat(outcome(read(null))).isInstanceOf(CommitOutcome.Unknown.class);
+  }
+
+  @Test
+  void commitIdOfAnotherAuthorIsRefused() {
+    settlement.start();
+    read(null);
+    read(COMMITTED);
+    RowValue.History history =
+        new RowValue.History(
+            ONE, FakeTable.digest(Configuration.EMPTY), COMMIT, "badr", 5, List.of());
+    CommitOutcome outcome = outcome(read(new Row(RowKey.history(ONE), 1, history)));
+    assertThat(((CommitOutcome.Refused) outcome).violations().getFirst().key())
+        .isEqualTo(ViolationKey.COMMIT_ID_TAKEN);
+  }
+}
