--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitExplorationTest.java
@@ -55,11 +55,6 @@
         return new Result(choices.states(), broken);
       }
     } while (choices.next());
-    System.out.println(
-        "STATES "
-            + choices.states()
-            + " "
-            + StackWalker.getInstance().walk(w -> w.skip(1).findFirst().get().getMethodName()));
     return new Result(choices.states(), List.of());
   }
 
