Keep draining whatever the upstream announces; stop only when entries have left

The decision lines showed the node still admitting 1.5 s into its drain. Cause: the upstream's next announcement, READY, replaced the endpoint that the drain had marked; entries were never told to leave. Ruled out: pooled connections closing when idle (the retry line names the stopped upstream, 4 ms after its stop). The state DRAINING now outlives announcements, and the node refuses as not run until no other node has sent a request for 0.5 s.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/ListenerHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/ListenerHandler.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.node;
 
 import io.hemlockbend.core.admission.RefusalReason;
+import io.hemlockbend.core.api.Clock;
 import io.hemlockbend.core.drain.DrainState;
 import io.hemlockbend.core.drain.DrainTracker;
 import io.hemlockbend.core.retry.AttemptEnd;
@@ -23,16 +24,24 @@
 final class ListenerHandler extends Handler.Abstract.NonBlocking {
   private final Map<Connector, Handler> handlers;
   private final DrainTracker drain;
+  private final Connector mesh;
+  private final Clock clock;
+  private volatile long meshMillis;
 
   /**
    * Makes the handler.
    *
    * @param handlers the handler of each listener
    * @param drain counts the requests in flight
+   * @param mesh the listener for other nodes' requests
+   * @param clock tells the time
    */
-  ListenerHandler(Map<Connector, Handler> handlers, DrainTracker drain) {
+  ListenerHandler(
+      Map<Connector, Handler> handlers, DrainTracker drain, Connector mesh, Clock clock) {
     this.handlers = Map.copyOf(handlers);
     this.drain = drain;
+    this.mesh = mesh;
+    this.clock = clock;
     handlers.values().forEach(this::addBean);
   }
 
@@ -44,11 +53,15 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) throws Exception {
+    Connector listener = request.getConnectionMetaData().getConnector();
+    if (listener == mesh) {
+      meshMillis = clock.millis();
+    }
     if (!begin()) {
       refuse(response, callback);
       return true;
     }
-    Handler handler = handlers.get(request.getConnectionMetaData().getConnector());
+    Handler handler = handlers.get(listener);
     boolean handled = handler.handle(request, response, Callback.from(callback, this::end));
     if (!handled) {
       end();
@@ -70,6 +83,11 @@
     }
   }
 
+  /** Returns when another node last sent a request, also one that was refused. */
+  long lastMeshRequestMillis() {
+    return meshMillis;
+  }
+
   /** Returns how far the drain is. */
   DrainState drainState(long nowMillis) {
     synchronized (drain) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -76,6 +76,7 @@
   private static final double SLOW_CALL_MILLIS = 250;
   private static final long ADMIN_BODY_MILLIS = 5_000;
   private static final long NOTICE_MILLIS = 1_500;
+  private static final long QUIET_MILLIS = 500;
   private static final long DRAIN_POLL_MILLIS = 20;
   private static final int CLAIM_NAME_CHARACTERS = 50;
 
@@ -286,7 +287,7 @@
                 new AnnounceHandler(new JsonCodec(), control::announced),
                 administration(),
                 new MetricsHandler(registry, this::ready)));
-    return new ListenerHandler(handlers, new DrainTracker(0, settings.drainMillis()));
+    return new ListenerHandler(handlers, new DrainTracker(0, settings.drainMillis()), mesh, clock);
   }
 
   private AdministrationHandler administration() {
@@ -303,14 +304,19 @@
   }
 
   /**
-   * Stops gracefully: the mesh hears first and sends no new work, then the requests in flight are
-   * waited for, at most as long as the settings say.
+   * Stops gracefully: the mesh hears first, and the node refuses as not run until no node has sent
+   * a request for a while; then the requests in flight are waited for. Both take at most as long as
+   * the settings say.
    */
   @Override
   public void close() {
+    long endMillis = clock.millis() + settings.drainMillis();
     control.drain();
     pause(NOTICE_MILLIS);
     control.leave();
+    while (!quiet() && clock.millis() < endMillis) {
+      pause(DRAIN_POLL_MILLIS);
+    }
     handler.drain(clock.millis());
     callers.shutdown();
     DrainState state = handler.drainState(clock.millis());
@@ -322,6 +328,10 @@
     stopAll();
   }
 
+  private boolean quiet() {
+    return clock.millis() - handler.lastMeshRequestMillis() >= QUIET_MILLIS;
+  }
+
   private void stopAll() {
     control.close();
     claims.close();
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
@@ -8,8 +8,6 @@
 import io.hemlockbend.core.acceptance.RetryBudget;
 import io.hemlockbend.core.acceptance.SettlementEvent;
 import io.hemlockbend.core.acceptance.SettlementStep;
-import io.hemlockbend.core.api.ConfigurationVersion;
-import io.hemlockbend.core.table.Row;
 import io.hemlockbend.core.table.RowKey;
 import io.hemlockbend.core.table.RowValue;
 import io.hemlockbend.platform.ObjectStore;
@@ -21,13 +19,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 
 /**
  * Carries out the steps of a commit against the platform until its outcome is known. Each commit
  * has a settlement of its own, whose steps run one after another.
  */
 public final class CommitRunner {
+  private static final int MARGIN_ROWS = 64;
+
   private final CommitPlanner planner;
   private final TableService table;
   private final ObjectStore store;
@@ -95,16 +94,15 @@
   }
 
   private CompletableFuture<List<RowValue.History>> readHistory(SettlementStep.ReadHistory range) {
-    List<CompletableFuture<Optional<Row>>> reads =
-        LongStream.rangeClosed(range.after().value() + 1, range.last().value())
-            .mapToObj(version -> table.read(RowKey.history(new ConfigurationVersion(version))))
-            .toList();
-    return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+    int count = Math.toIntExact(range.last().value() - range.after().value() + MARGIN_ROWS);
+    return table
+        .scan(RowKey.HISTORY_PREFIX, count)
         .thenApply(
-            done ->
-                reads.stream()
-                    .flatMap(read -> read.join().stream())
+            rows ->
+                rows.stream()
                     .map(row -> (RowValue.History) row.value())
+                    .filter(row -> row.version().newerThan(range.after()))
+                    .filter(row -> !row.version().newerThan(range.last()))
                     .toList());
   }
 
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/LocalUpstream.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/LocalUpstream.java
@@ -16,6 +16,7 @@
   private Endpoint endpoint;
   private NodeAddress address;
   private long heardMillis;
+  private boolean nodeLeaves;
 
   LocalUpstream(long announcementMillis) {
     this.announcementMillis = announcementMillis;
@@ -28,7 +29,7 @@
             body.upstream(),
             body.start(),
             new VersionKey(body.service(), body.version()),
-            body.state(),
+            nodeLeaves ? EndpointState.DRAINING : body.state(),
             body.slots());
     boolean crashed =
         endpoint != null
@@ -46,8 +47,12 @@
     return changeState(EndpointState.DOWN);
   }
 
-  /** Notes that the node leaves; returns whether that is news. */
+  /**
+   * Notes that the node leaves, whatever the upstream announces from now on; returns whether that
+   * is news.
+   */
   boolean draining() {
+    nodeLeaves = true;
     return endpoint != null
         && endpoint.state() != EndpointState.DOWN
         && changeState(EndpointState.DRAINING);
--- /dev/null
+++ b/hemlockbend-node/src/test/java/io/hemlockbend/node/control/LocalUpstreamTest.java
@@ -0,0 +1,52 @@
+package io.hemlockbend.node.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.codec.AnnouncementBody;
+import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.StartId;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionName;
+import org.junit.jupiter.api.Test;
+
+class LocalUpstreamTest {
+  private final LocalUpstream upstream = new LocalUpstream(2_000);
+
+  @Test
+  void announcementsDoNotUndoTheNodesDrain() {
+    upstream.announced(body("s1", EndpointState.READY), 0);
+    assertThat(upstream.draining()).isTrue();
+    upstream.announced(body("s1", EndpointState.READY), 500);
+    assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.DRAINING);
+  }
+
+  @Test
+  void newStartWithoutDrainIsACrash() {
+    upstream.announced(body("s1", EndpointState.READY), 0);
+    assertThat(upstream.announced(body("s2", EndpointState.READY), 500)).isTrue();
+    upstream.announced(body("s2", EndpointState.DRAINING), 900);
+    assertThat(upstream.announced(body("s3", EndpointState.READY), 1_500)).isFalse();
+  }
+
+  @Test
+  void silenceTurnsItDownOnce() {
+    upstream.announced(body("s1", EndpointState.READY), 0);
+    assertThat(upstream.expired(2_000)).isFalse();
+    assertThat(upstream.expired(2_001)).isTrue();
+    assertThat(upstream.expired(2_002)).isFalse();
+    assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.DOWN);
+  }
+
+  private static AnnouncementBody body(String start, EndpointState state) {
+    return new AnnouncementBody(
+        new UpstreamId("u1"),
+        new StartId(start),
+        new ServiceName("quotes"),
+        new VersionName("v1"),
+        state,
+        10,
+        "127.0.0.1",
+        9000);
+  }
+}
