Refuse no innocent that two unlike crashes took along

By the reports alone the two cannot be told apart: both were in flight at two crashes and share one. Now neither is refused until the third crash, which either meets alone. Cause, weighed: refusing only after a crash alone (a third crash for every culprit).

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/CrashCounts.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/CrashCounts.java
@@ -51,6 +51,11 @@
     return true;
   }
 
+  /** Returns whether the other request was in flight at a crash of an upstream of this one. */
+  boolean sharesWith(CrashCounts other) {
+    return !Collections.disjoint(byUpstream.keySet(), other.byUpstream.keySet());
+  }
+
   List<UpstreamId> upstreams() {
     List<UpstreamId> all = new ArrayList<>();
     byUpstream.forEach((upstream, count) -> all.addAll(Collections.nCopies(count, upstream)));
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/QuarantineList.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/QuarantineList.java
@@ -15,10 +15,10 @@
  * The crash reports of the whole mesh, as one node knows them, and what follows from them.
  *
  * <p>A request in flight at one crash is a suspect and runs alone on its upstream, so that it takes
- * no other request with it. At its second crash it is quarantined, unless another request was in
- * flight at every crash that it was: then either may be the cause, both go on alone, and the third
- * crash tells them apart. A suspect that was answered is clear at the node that saw it, until it is
- * in flight at another crash. Reports expire after {@link #KEEP_MILLIS}.
+ * no other request with it. At its second crash it is quarantined, unless another request that was
+ * in flight at two crashes shares one with it: then either may be the cause, both go on alone, and
+ * the third crash tells them apart. A suspect that was answered is clear at the node that saw it,
+ * until it is in flight at another crash. Reports expire after {@link #KEEP_MILLIS}.
  *
  * <p>Reports merge by union in any order. When more than a bounded number of requests are reported,
  * those with the fewest crashes are forgotten first. Times are milliseconds since the epoch; driven
@@ -58,7 +58,7 @@
     if (counts == null || counts.untilMillis() <= nowMillis) {
       return Standing.CLEAR;
     }
-    if (counts.total() >= CRASHES_TO_QUARANTINE && !explainedByAnother(request, counts)) {
+    if (counts.total() >= CRASHES_TO_QUARANTINE && !doubtful(request, counts)) {
       return Standing.QUARANTINED;
     }
     boolean cleared = clearedAt.getOrDefault(request, 0) >= counts.total();
@@ -100,9 +100,14 @@
     return !after.equals(before);
   }
 
-  private boolean explainedByAnother(RequestId request, CrashCounts counts) {
+  /** Returns whether another request may as well be the cause. */
+  private boolean doubtful(RequestId request, CrashCounts counts) {
+    boolean decided = counts.total() > CRASHES_TO_QUARANTINE;
     for (Map.Entry<RequestId, CrashCounts> other : reports.entrySet()) {
-      if (!other.getKey().equals(request) && counts.explainedBy(other.getValue())) {
+      CrashCounts theirs = other.getValue();
+      boolean shares = theirs.total() >= CRASHES_TO_QUARANTINE && counts.sharesWith(theirs);
+      boolean doubt = decided ? counts.explainedBy(theirs) : shares;
+      if (doubt && !other.getKey().equals(request)) {
         return true;
       }
     }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/quarantine/CrashTrackerTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/quarantine/CrashTrackerTest.java
@@ -40,6 +40,18 @@
     assertThat(list.standing(INNOCENT, 0)).isEqualTo(Standing.CLEAR);
   }
 
+  @Test
+  void anInnocentInFlightAtTwoCrashesOfDifferentCausesIsNotRefused() {
+    CrashTracker third = new CrashTracker(new UpstreamId("u3"));
+    crash(first, KILLER);
+    crash(third, INNOCENT);
+    crash(second, KILLER, INNOCENT);
+    assertThat(list.standing(INNOCENT, 0)).isEqualTo(Standing.SUSPECT);
+    crash(first, KILLER);
+    assertThat(list.standing(KILLER, 0)).isEqualTo(Standing.QUARANTINED);
+    assertThat(list.standing(INNOCENT, 0)).isEqualTo(Standing.SUSPECT);
+  }
+
   @Test
   void countsASecondCrashOfTheSameUpstreamAndConnectionsThatBrokeJustBefore() {
     crash(first, KILLER);
