Judge a connection by answers to what went over it

Any message of a peer counted as its answer. But its own pings come over another connection, and a third node passes on its answers, so an outgoing connection that had gone silent would never have been opened anew. Only an answer to a message sent over the connection counts now, and pings through others have numbers of their own.

heardFrom(address, message) is the call to use; heardFrom(address) stays with its old, weaker sense until its caller has changed over. With any message counted as an answer, onlyAnAnswerProvesTheConnection failed.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/ProbeLedger.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/ProbeLedger.java
@@ -19,11 +19,15 @@
   /** A ping for another node, with the number that the other gave its question. */
   record Relay(NodeId origin, long originSequence) {}
 
-  /** What became of the pings whose time has passed. */
+  /**
+   * What became of the pings whose time has passed. What others are asked has numbers of its own,
+   * so that an answer that they pass on is not taken for one over the connection to the target.
+   */
   record Overdue(Map<Long, NodeId> askOthers, List<NodeId> unanswered) {}
 
   private final LinkedHashMap<Long, Probe> probes = new LinkedHashMap<>();
   private final LinkedHashMap<Long, Relay> relays = new LinkedHashMap<>();
+  private final Map<Long, Long> indirect = new HashMap<>();
   private long lastSequence;
 
   /** Numbers a ping that nobody waits for the answer of. */
@@ -48,8 +52,9 @@
 
   /** Ends the ping that an answer belongs to; returns whether it was one of this node. */
   boolean answered(long sequence, NodeId from) {
-    Probe probe = probes.get(sequence);
-    return probe != null && probe.target().equals(from) && probes.remove(sequence, probe);
+    long direct = indirect.getOrDefault(sequence, sequence);
+    Probe probe = probes.get(direct);
+    return probe != null && probe.target().equals(from) && probes.remove(direct, probe);
   }
 
   /** Ends the ping for another node that an answer belongs to; returns whom to pass it on to. */
@@ -67,18 +72,22 @@
       Probe probe = entry.getValue();
       long ageMillis = nowMillis - probe.sentMillis();
       if (!probe.indirect() && ageMillis >= timeoutMillis) {
-        askOthers.put(entry.getKey(), probe.target());
+        long sequence = nextSequence();
+        indirect.put(sequence, entry.getKey());
+        askOthers.put(sequence, probe.target());
         entry.setValue(new Probe(probe.target(), probe.sentMillis(), true));
       } else if (probe.indirect() && ageMillis >= 2 * timeoutMillis) {
         unanswered.add(probe.target());
         entries.remove();
       }
     }
+    indirect.values().removeIf(direct -> !probes.containsKey(direct));
     return new Overdue(askOthers, unanswered);
   }
 
   void clear() {
     probes.clear();
+    indirect.clear();
     relays.clear();
   }
 }
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.NodeAddress;
 import io.hemlockbend.core.message.Outbound;
+import io.hemlockbend.core.message.PeerMessage;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -50,7 +51,11 @@
     }
   }
 
-  /** Notes that a message of this peer came in: it owes no answer. */
+  /**
+   * Notes that any message of this peer came in, and takes its connection as good. Weaker than
+   * {@link #heardFrom(NodeAddress, PeerMessage)}: the peer's own pings come over another
+   * connection.
+   */
   public void heardFrom(NodeAddress peer) {
     PeerLink link = links.get(peer);
     if (link != null) {
@@ -58,6 +63,19 @@
     }
   }
 
+  /**
+   * Notes a message of this peer; when it answers one that was sent to it, the connection is good.
+   *
+   * @param peer the control address of the message's sender
+   * @param message the message
+   */
+  public void heardFrom(NodeAddress peer, PeerMessage message) {
+    PeerLink link = links.get(peer);
+    if (link != null) {
+      link.heard(message);
+    }
+  }
+
   /** Returns how many connections are kept. */
   public int size() {
     return links.size();
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
@@ -21,8 +21,7 @@
   private final BlockingQueue<PeerMessage> queue;
   private final Socket socket = new Socket();
   private volatile boolean closed;
-  private volatile boolean owed;
-  private volatile long owedSinceNanos;
+  private final OwedAnswers owed = new OwedAnswers();
   private volatile long lastOfferNanos = System.nanoTime();
 
   PeerLink(
@@ -51,21 +50,24 @@
     lastOfferNanos = System.nanoTime();
     if (!queue.offer(message)) {
       counters.drop();
-    } else if (wantsAnswer(message) && !owed) {
-      owedSinceNanos = lastOfferNanos;
-      owed = true;
+    } else {
+      owed.sent(message, lastOfferNanos);
     }
     return true;
   }
 
   /** Returns whether the peer owes an answer for longer than the bound. */
   boolean silent() {
-    long owedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - owedSinceNanos);
-    return owed && owedMillis >= settings.answerTimeoutMillis();
+    long boundNanos = TimeUnit.MILLISECONDS.toNanos(settings.answerTimeoutMillis());
+    return owed.waitsLongerThan(boundNanos, System.nanoTime());
+  }
+
+  void heard(PeerMessage message) {
+    owed.received(message);
   }
 
   void heard() {
-    owed = false;
+    owed.clear();
   }
 
   long lastOfferNanos() {
@@ -78,14 +80,6 @@
     closeSocket();
   }
 
-  private static boolean wantsAnswer(PeerMessage message) {
-    return switch (message) {
-      case PeerMessage.Ping ping -> ping.sequence() != 0;
-      case PeerMessage.Join join -> true;
-      default -> false;
-    };
-  }
-
   private void run() {
     try (socket) {
       socket.setTcpNoDelay(true);
--- a/hemlockbend-wire/src/test/java/io/hemlockbend/wire/PeerConnectionsTest.java
+++ b/hemlockbend-wire/src/test/java/io/hemlockbend/wire/PeerConnectionsTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.message.Outbound;
 import io.hemlockbend.core.message.PeerMessage;
 import java.io.DataInputStream;
@@ -11,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -76,7 +78,7 @@
         connections.send(new Outbound(address(), Messages.ping(2)));
         try (Socket fresh = server.accept()) {
           assertThat(read(fresh)).isEqualTo(Messages.ping(2));
-          connections.heardFrom(address());
+          connections.heardFrom(address(), ack(2));
           connections.send(new Outbound(address(), Messages.ping(3)));
           assertThat(read(fresh)).isEqualTo(Messages.ping(3));
         }
@@ -85,6 +87,28 @@
     assertThat(counters.reopened()).isEqualTo(1);
   }
 
+  @Test
+  void onlyAnAnswerProvesTheConnection() throws Exception {
+    try (PeerConnections connections = connections(counters, 0)) {
+      connections.send(new Outbound(address(), Messages.ping(1)));
+      try (Socket silent = server.accept()) {
+        assertThat(read(silent)).isEqualTo(Messages.ping(1));
+        connections.heardFrom(address(), Messages.ping(7));
+        connections.heardFrom(address(), ack(99));
+        connections.send(new Outbound(address(), Messages.ping(2)));
+        try (Socket fresh = server.accept()) {
+          assertThat(read(fresh)).isEqualTo(Messages.ping(2));
+        }
+      }
+    }
+    assertThat(counters.reopened()).isEqualTo(1);
+  }
+
+  private static PeerMessage ack(long sequence) {
+    return new PeerMessage.Ack(
+        new NodeId("b"), sequence, PeerMessage.VersionMark.NONE, List.of(), List.of(), List.of());
+  }
+
   @Test
   void messagesToADeadPeerAreDroppedAndCounted() throws Exception {
     NodeAddress dead = address();
