--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
@@ -8,6 +8,7 @@
 import io.hemlockbend.core.admission.AdmissionSettings;
 import io.hemlockbend.core.admission.Dropped;
 import io.hemlockbend.core.admission.Grant;
+import io.hemlockbend.core.admission.PauseFence;
 import io.hemlockbend.core.admission.Permit;
 import io.hemlockbend.core.admission.RefusalReason;
 import io.hemlockbend.core.admission.RunOutcome;
@@ -19,6 +20,7 @@
 import io.hemlockbend.core.api.NodeAddress;
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.quarantine.CrashTracker;
+import io.hemlockbend.core.quarantine.Standing;
 import io.hemlockbend.core.retry.AttemptEnd;
 import io.hemlockbend.node.forward.Answer;
 import io.hemlockbend.node.forward.Call;
@@ -37,6 +39,7 @@
  * sent or answered under it.
  */
 public final class AdmissionService {
+  private static final long PAUSE_MILLIS = 3_000;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final Answer BROKEN = new Answer.Ended(new AttemptEnd.Broken(false));
 
@@ -52,6 +55,7 @@
   private final RunListener listener;
   private final DecisionListener decisions;
   private final Clock clock;
+  private final PauseFence fence;
   private UpstreamLink link;
 
   /**
@@ -77,6 +81,7 @@
     this.listener = listener;
     this.decisions = decisions;
     this.clock = clock;
+    this.fence = new PauseFence(PAUSE_MILLIS, clock.millis());
   }
 
   /**
@@ -117,6 +122,13 @@
     settle(controller -> controller.gate(gate, clock.millis()));
   }
 
+  /** Vouches that this node has not been paused, or has caught up since. */
+  public void vouch() {
+    synchronized (lock) {
+      fence.caughtUp(clock.millis());
+    }
+  }
+
   /** Drops queued requests that cannot be answered in time any more. */
   public void expire() {
     settle(controller -> controller.expire(clock.millis()));
@@ -160,7 +172,9 @@
     CompletableFuture<Answer> queued = new CompletableFuture<>();
     synchronized (lock) {
       current = link;
-      if (current == null || !current.upstream().equals(call.upstream())) {
+      if (current == null
+          || !current.upstream().equals(call.upstream())
+          || fence.closed(clock.millis())) {
         decision = new AdmissionDecision.Refused(RefusalReason.NOT_READY);
       } else {
         decision = current.controller().offer(request(call), clock.millis());
@@ -187,7 +201,12 @@
         call.version(),
         call.priority(),
         call.deadlineMillis(),
-        quarantine.standing(call.request(), clock.millis()));
+        standing(call));
+  }
+
+  private Standing standing(Call call) {
+    Standing known = quarantine.standing(call.request(), clock.millis());
+    return known == Standing.CLEAR && call.suspect() ? Standing.SUSPECT : known;
   }
 
   private CompletableFuture<Answer> run(Call call, UpstreamLink current, Permit permit) {
@@ -205,7 +224,10 @@
     long now = clock.millis();
     Optional<RefusalReason> refusal;
     synchronized (lock) {
-      refusal = run.link().controller().recheck(request(call), now);
+      refusal =
+          fence.closed(now)
+              ? Optional.of(RefusalReason.NOT_READY)
+              : run.link().controller().recheck(request(call), now);
     }
     if (refusal.isPresent()) {
       return CompletableFuture.completedFuture(refuse(call, refusal.get()));
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/MeshHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/MeshHandler.java
@@ -9,6 +9,7 @@
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.retry.ResponseHeaders;
 import io.hemlockbend.core.routing.RefusalReason;
 import io.hemlockbend.node.forward.AnswerWriter;
 import io.hemlockbend.node.forward.BodyReader;
@@ -79,7 +80,8 @@
         version(fields.get(MeshHeaders.VERSION)),
         new UpstreamId(fields.get(MeshHeaders.UPSTREAM)),
         priority(fields.get(MeshHeaders.PRIORITY)),
-        clock.millis() + fields.getLongField(MeshHeaders.DEADLINE_MILLIS));
+        clock.millis() + fields.getLongField(MeshHeaders.DEADLINE_MILLIS),
+        fields.contains(ResponseHeaders.SUSPECT));
   }
 
   private static VersionKey version(String text) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -211,6 +211,9 @@
   private void tick() {
     long now = clock.millis();
     send(state.membership.tick(now));
+    if (!state.membership.fenced()) {
+      admission.vouch();
+    }
     hearReports(now);
     membersChanged(now);
     carryOut(state.distributor.tick(now));
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
@@ -92,7 +92,7 @@
     if (view.standing(incoming.request()) == Standing.QUARANTINED) {
       return CompletableFuture.completedFuture(refuse(incoming, RefusalReason.QUARANTINED));
     }
-    return attempt(incoming, new Progress(1, 0, Exclusions.NONE, false));
+    return attempt(incoming, new Progress(1, 0, Exclusions.NONE, false, false));
   }
 
   /** Forgets what was learnt of upstreams that are gone. */
@@ -100,7 +100,8 @@
     cells.keepOnly(known);
   }
 
-  private record Progress(int number, int brokenTries, Exclusions exclusions, boolean mayHaveRun) {}
+  private record Progress(
+      int number, int brokenTries, Exclusions exclusions, boolean mayHaveRun, boolean suspect) {}
 
   private CompletableFuture<Answer> attempt(Incoming incoming, Progress progress) {
     Optional<RoutingTable> table = view.table();
@@ -132,7 +133,7 @@
   private CompletableFuture<Answer> forward(
       Incoming incoming, RoutingDecision.Forward forward, Progress progress) {
     Candidate candidate = forward.candidate();
-    Call call = call(incoming, forward);
+    Call call = call(incoming, forward, progress);
     RetryBudget budget = budget(candidate.key().service());
     if (progress.number() == 1) {
       synchronized (budget) {
@@ -241,10 +242,11 @@
         progress.number() + 1,
         progress.brokenTries() + (end instanceof AttemptEnd.Broken ? 1 : 0),
         exclusions,
-        progress.mayHaveRun() || end.mayHaveRun());
+        progress.mayHaveRun() || end.mayHaveRun(),
+        progress.suspect() || elsewhere.alone());
   }
 
-  private static Call call(Incoming incoming, RoutingDecision.Forward forward) {
+  private static Call call(Incoming incoming, RoutingDecision.Forward forward, Progress progress) {
     return new Call(
         incoming.method(),
         incoming.target(),
@@ -256,7 +258,8 @@
         forward.candidate().key(),
         forward.candidate().upstream(),
         forward.route().priority(),
-        incoming.deadlineMillis());
+        incoming.deadlineMillis(),
+        progress.suspect());
   }
 
   private RetryBudget budget(ServiceName service) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Call.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Call.java
@@ -23,6 +23,7 @@
  * @param upstream the upstream that was chosen
  * @param priority how urgent it is
  * @param deadlineMillis when the caller stops waiting, milliseconds since the epoch
+ * @param suspect whether an earlier try may have crashed its upstream, so that it must run alone
  */
 public record Call(
     String method,
@@ -35,7 +36,8 @@
     VersionKey version,
     UpstreamId upstream,
     Priority priority,
-    long deadlineMillis) {
+    long deadlineMillis,
+    boolean suspect) {
 
   /** Returns whether the method is safe, so that the request may be repeated (RFC 9110, 9.2.1). */
   public boolean safe() {
@@ -63,6 +65,7 @@
         version,
         upstream,
         priority,
-        deadlineMillis);
+        deadlineMillis,
+        suspect);
   }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
@@ -95,6 +95,9 @@
     fields.put(MeshHeaders.VERSION, call.version().toString());
     fields.put(MeshHeaders.UPSTREAM, call.upstream().value());
     fields.put(MeshHeaders.PRIORITY, call.priority().name());
+    if (call.suspect()) {
+      fields.put(ResponseHeaders.SUSPECT, Boolean.TRUE.toString());
+    }
   }
 
   private Scheduler.Task firstByteTimer(Request request, Hop hop) {
