Ask where an accepted version is, judge peers by answers, tell the fence of table reads

A message of any kind from a peer counted as an answer, so that a silent outgoing connection could stay; only answers to what went over it count now. While an operator waits, members not known to have the version are asked.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -44,6 +44,9 @@
   private static final long REBUILD_MILLIS = 500;
   private static final long VIEW_MILLIS = 100;
   private static final long MEMBERS_MILLIS = 150;
+  private static final long SURVEY_MILLIS = 30_000;
+  private static final long SURVEY_INTERVAL_MILLIS = 200;
+  private static final int SURVEY_MEMBERS = 64;
 
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(
@@ -59,6 +62,8 @@
   private long knownChanges = -1;
   private long membersMillis;
   private long builtMillis;
+  private long surveyUntilMillis;
+  private long surveyedMillis;
   private boolean stale = true;
   private long viewMillis;
   private volatile MeshSnapshot view = MeshSnapshot.NONE;
@@ -77,8 +82,7 @@
     this.applied = parts.applied();
     this.clock = clock;
     this.reads =
-        new PlatformReads(
-            parts.table(), parts.store(), state.distributor, thread, clock, this::carryOut);
+        new PlatformReads(parts.table(), parts.store(), state, thread, clock, this::carryOut);
   }
 
   /** Adds work; only before the loop starts. */
@@ -216,7 +220,9 @@
     }
     hearReports(now);
     membersChanged(now);
+    state.distributor.recorded(state.membership.recordedApplied());
     carryOut(state.distributor.tick(now));
+    survey(now);
     if (state.upstream.expired(now)) {
       upstreamDown();
     }
@@ -227,6 +233,14 @@
     publishView(now);
   }
 
+  /** Asks members where a version is that was accepted here, so that its operator sees it. */
+  private void survey(long now) {
+    if (now < surveyUntilMillis && now - surveyedMillis >= SURVEY_INTERVAL_MILLIS) {
+      surveyedMillis = now;
+      send(state.membership.survey(state.distributor.mark().version(), SURVEY_MEMBERS, now));
+    }
+  }
+
   private void publishView(long now) {
     if (now - viewMillis < VIEW_MILLIS) {
       return;
@@ -237,7 +251,10 @@
 
   private void received(PeerMessage message) {
     long now = clock.millis();
-    state.membership.find(message.sender()).ifPresent(sender -> peers.heardFrom(sender.control()));
+    state
+        .membership
+        .find(message.sender())
+        .ifPresent(sender -> peers.heardFrom(sender.control(), message));
     send(state.membership.receive(message, now));
     hearReports(now);
     carryOut(state.distributor.receive(message, now));
@@ -265,7 +282,6 @@
     membersMillis = now;
     knownChanges = state.membership.changes();
     state.distributor.members(state.membership.members(), now);
-    state.distributor.recorded(state.membership.recordedApplied());
     stale = true;
   }
 
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/PlatformReads.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/PlatformReads.java
@@ -3,7 +3,7 @@
 import io.hemlockbend.core.api.Clock;
 import io.hemlockbend.core.api.ConfigurationVersion;
 import io.hemlockbend.core.distribution.DistributionEffect;
-import io.hemlockbend.core.distribution.Distributor;
+import io.hemlockbend.core.message.PeerMessage.VersionMark;
 import io.hemlockbend.core.table.Row;
 import io.hemlockbend.core.table.RowKey;
 import io.hemlockbend.core.table.RowValue;
@@ -20,7 +20,7 @@
 final class PlatformReads {
   private final TableService table;
   private final ObjectStore store;
-  private final Distributor distributor;
+  private final ControlState state;
   private final Executor control;
   private final Clock clock;
   private final Consumer<List<DistributionEffect>> effects;
@@ -30,7 +30,7 @@
    *
    * @param table the platform's table
    * @param store the platform's object store
-   * @param distributor wants the results
+   * @param state takes the results
    * @param control the control thread
    * @param clock tells the time
    * @param effects takes what the distributor wants done next
@@ -38,13 +38,13 @@
   PlatformReads(
       TableService table,
       ObjectStore store,
-      Distributor distributor,
+      ControlState state,
       Executor control,
       Clock clock,
       Consumer<List<DistributionEffect>> effects) {
     this.table = table;
     this.store = store;
-    this.distributor = distributor;
+    this.state = state;
     this.control = control;
     this.clock = clock;
     this.effects = effects;
@@ -57,11 +57,19 @@
             (row, failure) ->
                 effects.accept(
                     failure == null
-                        ? distributor.currentRead(row.map(PlatformReads::current), clock.millis())
-                        : distributor.currentUnavailable(clock.millis())),
+                        ? currentRead(row.map(PlatformReads::current))
+                        : state.distributor.currentUnavailable(clock.millis())),
             control);
   }
 
+  private List<DistributionEffect> currentRead(Optional<RowValue.Current> row) {
+    VersionMark mark =
+        row.map(current -> new VersionMark(current.version(), current.digest()))
+            .orElse(VersionMark.NONE);
+    state.membership.tableRead(mark);
+    return state.distributor.currentRead(row, clock.millis());
+  }
+
   private static RowValue.Current current(Row row) {
     return (RowValue.Current) row.value();
   }
@@ -76,8 +84,8 @@
             (done, failure) ->
                 effects.accept(
                     failure == null
-                        ? distributor.historyRead(rows(reads), clock.millis())
-                        : distributor.historyUnavailable(clock.millis())),
+                        ? state.distributor.historyRead(rows(reads), clock.millis())
+                        : state.distributor.historyUnavailable(clock.millis())),
             control);
   }
 
@@ -101,8 +109,8 @@
             (body, failure) ->
                 effects.accept(
                     failure == null && body.isPresent()
-                        ? distributor.bodyFetched(fetch.digest(), body.get(), clock.millis())
-                        : distributor.bodyUnavailable(fetch.digest(), clock.millis())),
+                        ? state.distributor.bodyFetched(fetch.digest(), body.get(), clock.millis())
+                        : state.distributor.bodyUnavailable(fetch.digest(), clock.millis())),
             control);
   }
 }
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/OwedAnswers.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/OwedAnswers.java
@@ -46,10 +46,6 @@
     }
   }
 
-  synchronized void clear() {
-    sentNanos.clear();
-  }
-
   /** Returns whether a message waits for its answer for as long as the bound. */
   synchronized boolean waitsLongerThan(long boundNanos, long nowNanos) {
     return !sentNanos.isEmpty() && nowNanos - sentNanos.firstEntry().getValue() >= boundNanos;
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
@@ -51,18 +51,6 @@
     }
   }
 
-  /**
-   * Notes that any message of this peer came in, and takes its connection as good. Weaker than
-   * {@link #heardFrom(NodeAddress, PeerMessage)}: the peer's own pings come over another
-   * connection.
-   */
-  public void heardFrom(NodeAddress peer) {
-    PeerLink link = links.get(peer);
-    if (link != null) {
-      link.heard();
-    }
-  }
-
   /**
    * Notes a message of this peer; when it answers one that was sent to it, the connection is good.
    *
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
@@ -66,10 +66,6 @@
     owed.received(message);
   }
 
-  void heard() {
-    owed.clear();
-  }
-
   long lastOfferNanos() {
     return lastOfferNanos;
   }
