--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/CellCleanup.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/CellCleanup.java
@@ -1,16 +1,24 @@
 package io.hemlockbend.node.entry;
 
 import io.hemlockbend.core.api.Endpoint;
-import io.hemlockbend.core.api.Member;
+import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.MemberStatus;
 import io.hemlockbend.core.message.PeerMessage;
 import io.hemlockbend.core.model.Configuration;
 import io.hemlockbend.node.control.ControlTask;
 import io.hemlockbend.node.rollout.MeshAccess;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.stream.Collectors;
 
-/** Forgets now and then what an entry learnt of upstreams that are gone. */
+/**
+ * Forgets what an entry learnt of upstreams that are gone or down, so that one that comes back is
+ * not held to the failures of its earlier life.
+ */
 public final class CellCleanup implements ControlTask {
-  private static final long INTERVAL_MILLIS = 30_000;
+  private static final Set<MemberStatus> LIVE =
+      EnumSet.of(MemberStatus.ALIVE, MemberStatus.SUSPECT);
+  private static final long INTERVAL_MILLIS = 1_000;
 
   private final EntryService entry;
   private final MeshAccess mesh;
@@ -35,8 +43,10 @@
     cleanedMillis = nowMillis;
     entry.keepOnly(
         mesh.members().stream()
-            .map(Member::endpoint)
-            .flatMap(endpoint -> endpoint.map(Endpoint::upstream).stream())
+            .filter(member -> LIVE.contains(member.status()))
+            .flatMap(member -> member.endpoint().stream())
+            .filter(endpoint -> endpoint.state() != EndpointState.DOWN)
+            .map(Endpoint::upstream)
             .collect(Collectors.toSet()));
   }
 
