--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AnswerPrinter.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/AnswerPrinter.java
@@ -97,7 +97,12 @@
   private static void history(AdminAnswer.History history, PrintWriter out) {
     TextTable table = new TextTable("VERSION", "AT", "AUTHOR", "COMMIT", "CHANGES");
     for (RowValue.History row : history.versions()) {
-      table.row(row.version(), time(row.atMillis()), row.author(), row.commit(), row.changes());
+      table.row(
+          row.version(),
+          time(row.atMillis()),
+          row.author(),
+          row.commit(),
+          ChangeText.of(row.changes()));
     }
     table.print(out);
   }
--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HemlockbendMain.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/HemlockbendMain.java
@@ -89,7 +89,8 @@
             other ->
                 err.println(
                     "  version %s by %s: %s"
-                        .formatted(other.version(), other.author(), other.changes())));
+                        .formatted(
+                            other.version(), other.author(), ChangeText.of(other.changes()))));
     problem.commit().ifPresent(commit -> err.println("  commit id " + commit));
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/RoutingTable.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/routing/RoutingTable.java
@@ -8,6 +8,7 @@
 import io.hemlockbend.core.model.Configuration;
 import io.hemlockbend.core.model.Move;
 import io.hemlockbend.core.model.Route;
+import io.hemlockbend.core.withdrawal.DomainGate;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -59,8 +60,7 @@
 
   private static Candidate candidate(Member member, Endpoint endpoint, RoutingInput input) {
     int share =
-        RestoreShare.permille(
-            input.configuration().domains().get(member.domain()), input.nowMillis());
+        DomainGate.share(input.configuration().domains().get(member.domain()), input.nowMillis());
     return new Candidate(
         endpoint.upstream(),
         member.id(),
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/AdmissionTimeProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/AdmissionTimeProbe.java
@@ -18,33 +18,9 @@
   private static final long DEADLINE_MILLIS = 10_000;
 
   @Override
-  public String role() {
-    return "admission";
-  }
-
-  @Override
-  public String name() {
-    return "request let in and released";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "slots";
-  }
-
-  @Override
-  public String unit() {
-    return "ns";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(4, 8, 16, 32, 64);
-  }
-
-  @Override
-  public int target() {
-    return 12;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "admission", "request let in and released", "slots", "ns", List.of(4, 8, 16, 32, 64), 12);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/ApplyTimeProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/ApplyTimeProbe.java
@@ -14,33 +14,14 @@
   private final JsonDigester digester = new JsonDigester(new JsonCodec());
 
   @Override
-  public String role() {
-    return "distribution";
-  }
-
-  @Override
-  public String name() {
-    return "one change applied and verified";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "services";
-  }
-
-  @Override
-  public String unit() {
-    return "us";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(50, 100, 200, 350);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_SERVICES;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "distribution",
+        "one change applied and verified",
+        "services",
+        "us",
+        List.of(50, 100, 200, 350),
+        Fleet.TARGET_SERVICES);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/BodyBytesProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/BodyBytesProbe.java
@@ -8,33 +8,14 @@
   private final MessagePackCodec codec = new MessagePackCodec();
 
   @Override
-  public String role() {
-    return "distribution";
-  }
-
-  @Override
-  public String name() {
-    return "whole configuration on the wire";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "services";
-  }
-
-  @Override
-  public String unit() {
-    return "bytes";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(50, 100, 200, 350);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_SERVICES;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "distribution",
+        "whole configuration on the wire",
+        "services",
+        "bytes",
+        List.of(50, 100, 200, 350),
+        Fleet.TARGET_SERVICES);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/CapacityMain.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/CapacityMain.java
@@ -46,7 +46,7 @@
   private static List<Sample> samples(Probe probe) {
     List<Sample> samples = new ArrayList<>();
     for (int repeat = 0; repeat < REPEATS; repeat++) {
-      for (int size : probe.sizes()) {
+      for (int size : probe.spec().sizes()) {
         samples.add(new Sample(size, probe.measure(size)));
       }
     }
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/CapacityReport.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/CapacityReport.java
@@ -12,19 +12,19 @@
       |---|---|---|---|---|---|
       """;
 
-  private record Entry(Probe probe, List<Sample> samples, Line line) {}
+  private record Entry(ProbeSpec probe, List<Sample> samples, Line line) {}
 
   private final List<Entry> entries = new ArrayList<>();
 
   void add(Probe probe, List<Sample> samples) {
-    entries.add(new Entry(probe, List.copyOf(samples), Line.fit(samples)));
+    entries.add(new Entry(probe.spec(), List.copyOf(samples), Line.fit(samples)));
   }
 
   /** Returns a row for each probe: slope, value at the size to design for, standard error. */
   String table() {
     StringBuilder table = new StringBuilder(HEADER);
     for (Entry entry : entries) {
-      Probe probe = entry.probe();
+      ProbeSpec probe = entry.probe();
       table.append(
           String.format(
               Locale.ROOT,
@@ -63,7 +63,7 @@
     return raw.toString();
   }
 
-  private static String sizes(Probe probe) {
+  private static String sizes(ProbeSpec probe) {
     return probe.sizes().stream().map(String::valueOf).reduce((a, b) -> a + ", " + b).orElse("");
   }
 
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/ConfigurationMemoryProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/ConfigurationMemoryProbe.java
@@ -7,33 +7,14 @@
   private static final double KIB = 1024;
 
   @Override
-  public String role() {
-    return "distribution";
-  }
-
-  @Override
-  public String name() {
-    return "configuration, heap";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "services";
-  }
-
-  @Override
-  public String unit() {
-    return "KiB";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(50, 100, 200, 350);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_SERVICES;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "distribution",
+        "configuration, heap",
+        "services",
+        "KiB",
+        List.of(50, 100, 200, 350),
+        Fleet.TARGET_SERVICES);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/DeltaBytesProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/DeltaBytesProbe.java
@@ -13,33 +13,9 @@
   private final MessagePackCodec codec = new MessagePackCodec();
 
   @Override
-  public String role() {
-    return "distribution";
-  }
-
-  @Override
-  public String name() {
-    return "delta on the wire";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "changes in it";
-  }
-
-  @Override
-  public String unit() {
-    return "bytes";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(1, 2, 4, 8);
-  }
-
-  @Override
-  public int target() {
-    return 1;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "distribution", "delta on the wire", "changes in it", "bytes", List.of(1, 2, 4, 8), 1);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/EvidenceBytesProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/EvidenceBytesProbe.java
@@ -13,33 +13,14 @@
   private final MessagePackCodec codec = new MessagePackCodec();
 
   @Override
-  public String role() {
-    return "rollout controller";
-  }
-
-  @Override
-  public String name() {
-    return "evidence report on the wire";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "routes and versions in it";
-  }
-
-  @Override
-  public String unit() {
-    return "bytes";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(2, 4, 6, 12);
-  }
-
-  @Override
-  public int target() {
-    return 6;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "rollout controller",
+        "evidence report on the wire",
+        "routes and versions in it",
+        "bytes",
+        List.of(2, 4, 6, 12),
+        6);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingBytesProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingBytesProbe.java
@@ -11,33 +11,9 @@
   private final MessagePackCodec codec = new MessagePackCodec();
 
   @Override
-  public String role() {
-    return "membership";
-  }
-
-  @Override
-  public String name() {
-    return "ping on the wire";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "claims in it";
-  }
-
-  @Override
-  public String unit() {
-    return "bytes";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(0, 2, 4, 6, 8);
-  }
-
-  @Override
-  public int target() {
-    return 6;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "membership", "ping on the wire", "claims in it", "bytes", List.of(0, 2, 4, 6, 8), 6);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingTimeProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/PingTimeProbe.java
@@ -11,33 +11,14 @@
   private static final int CLAIMS = 6;
 
   @Override
-  public String role() {
-    return "membership";
-  }
-
-  @Override
-  public String name() {
-    return "ping taken in and answered";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "members";
-  }
-
-  @Override
-  public String unit() {
-    return "ns";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(100, 400, 800, 1600, 3100);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_UPSTREAMS;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "membership",
+        "ping taken in and answered",
+        "members",
+        "ns",
+        List.of(100, 400, 800, 1600, 3100),
+        Fleet.TARGET_UPSTREAMS);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
@@ -30,33 +30,9 @@
       };
 
   @Override
-  public String role() {
-    return "entry";
-  }
-
-  @Override
-  public String name() {
-    return "routing decision";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "upstreams of a service";
-  }
-
-  @Override
-  public String unit() {
-    return "ns";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(4, 9, 18, 36, 72);
-  }
-
-  @Override
-  public int target() {
-    return 9;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "entry", "routing decision", "upstreams of a service", "ns", List.of(4, 9, 18, 36, 72), 9);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableMemoryProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableMemoryProbe.java
@@ -11,33 +11,14 @@
   private static final double KIB = 1024;
 
   @Override
-  public String role() {
-    return "entry";
-  }
-
-  @Override
-  public String name() {
-    return "routing table, heap";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "members";
-  }
-
-  @Override
-  public String unit() {
-    return "KiB";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(100, 400, 800, 1600, 3100);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_UPSTREAMS;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "entry",
+        "routing table, heap",
+        "members",
+        "KiB",
+        List.of(100, 400, 800, 1600, 3100),
+        Fleet.TARGET_UPSTREAMS);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableTimeProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableTimeProbe.java
@@ -11,33 +11,14 @@
   private static final double NANOS_PER_MICRO = 1e3;
 
   @Override
-  public String role() {
-    return "entry";
-  }
-
-  @Override
-  public String name() {
-    return "routing table, made anew";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "members";
-  }
-
-  @Override
-  public String unit() {
-    return "us";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(100, 400, 800, 1600, 3100);
-  }
-
-  @Override
-  public int target() {
-    return Fleet.TARGET_UPSTREAMS;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "entry",
+        "routing table, made anew",
+        "members",
+        "us",
+        List.of(100, 400, 800, 1600, 3100),
+        Fleet.TARGET_UPSTREAMS);
   }
 
   @Override
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/VerdictTimeProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/VerdictTimeProbe.java
@@ -17,33 +17,14 @@
   private int second;
 
   @Override
-  public String role() {
-    return "rollout controller";
-  }
-
-  @Override
-  public String name() {
-    return "second of evidence taken in and judged";
-  }
-
-  @Override
-  public String sizeUnit() {
-    return "failure domains with evidence";
-  }
-
-  @Override
-  public String unit() {
-    return "us";
-  }
-
-  @Override
-  public List<Integer> sizes() {
-    return List.of(1, 3, 6, 11);
-  }
-
-  @Override
-  public int target() {
-    return 11;
+  public ProbeSpec spec() {
+    return new ProbeSpec(
+        "rollout controller",
+        "second of evidence taken in and judged",
+        "failure domains with evidence",
+        "us",
+        List.of(1, 3, 6, 11),
+        11);
   }
 
   @Override
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/capacity/CapacityReportTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/capacity/CapacityReportTest.java
@@ -24,7 +24,8 @@
 
   @Test
   void everyProbeHasEnoughSizesAndMeasuresSomething() {
-    assertThat(Probes.all()).allSatisfy(probe -> assertThat(probe.sizes()).hasSizeGreaterThan(3));
+    assertThat(Probes.all())
+        .allSatisfy(probe -> assertThat(probe.spec().sizes()).hasSizeGreaterThan(3));
     assertThat(new PingBytesProbe().measure(0)).isPositive();
   }
 }
