--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/CommitSettlement.java
@@ -45,7 +45,7 @@
   private final CommitOrder order;
   private final Optional<ChangeSet> direct;
   private final boolean resent;
-  private final RetryBudget budget;
+  private final SettlementBudget budget;
 
   private SettlementStep last;
   private Optional<Row> current = Optional.empty();
@@ -72,7 +72,7 @@
       CommitOrder order,
       Optional<ChangeSet> direct,
       boolean resent,
-      RetryBudget budget) {
+      SettlementBudget budget) {
     this.planner = planner;
     this.order = order;
     this.direct = direct;
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/RetryBudget.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/acceptance/SettlementBudget.java
@@ -6,7 +6,7 @@
  * Bounds the failures of a settlement and spaces its tries: the delay doubles from {@link
  * #FIRST_DELAY_MILLIS} with each failure, and half of it is random.
  */
-public final class RetryBudget {
+public final class SettlementBudget {
   /** How many failures a settlement bears by default. */
   public static final int DEFAULT_FAILURES = 6;
 
@@ -23,7 +23,7 @@
    * @param maxFailures how many failures it bears
    * @param random spreads the delays
    */
-  public RetryBudget(int maxFailures, RandomGenerator random) {
+  public SettlementBudget(int maxFailures, RandomGenerator random) {
     this.maxFailures = maxFailures;
     this.random = random;
   }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitSettlementTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitSettlementTest.java
@@ -31,7 +31,7 @@
               COMMIT, new Author("amel", new TeamName("t"), true), 10, Set.of(), List.of()),
           Optional.empty(),
           false,
-          new RetryBudget(1, new Random(1)));
+          new SettlementBudget(1, new Random(1)));
 
   private SettlementStep read(Row row) {
     return settlement.on(new SettlementEvent.RowRead(Optional.ofNullable(row)));
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/acceptance/CommitWorld.java
@@ -131,7 +131,7 @@
     Committer result =
         new Committer(
             new CommitSettlement(
-                planner, order, changes, resent, new RetryBudget(1, new Random(1))),
+                planner, order, changes, resent, new SettlementBudget(1, new Random(1))),
             order.commit());
     committers.add(result);
     return result;
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
@@ -5,7 +5,7 @@
 import io.hemlockbend.core.acceptance.CommitOutcome;
 import io.hemlockbend.core.acceptance.CommitPlanner;
 import io.hemlockbend.core.acceptance.CommitSettlement;
-import io.hemlockbend.core.acceptance.RetryBudget;
+import io.hemlockbend.core.acceptance.SettlementBudget;
 import io.hemlockbend.core.acceptance.SettlementEvent;
 import io.hemlockbend.core.acceptance.SettlementStep;
 import io.hemlockbend.core.table.RowKey;
@@ -58,8 +58,9 @@
    */
   public CompletableFuture<CommitOutcome> run(
       CommitOrder order, Optional<ChangeSet> direct, boolean resent) {
-    RetryBudget budget =
-        new RetryBudget(RetryBudget.DEFAULT_FAILURES, new SplittableRandom(System.nanoTime()));
+    SettlementBudget budget =
+        new SettlementBudget(
+            SettlementBudget.DEFAULT_FAILURES, new SplittableRandom(System.nanoTime()));
     CommitSettlement settlement = new CommitSettlement(planner, order, direct, resent, budget);
     return advance(settlement, settlement.start()).thenApply(this::tell);
   }
