--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/routing/RouterTest.java
@@ -31,6 +31,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class RouterTest {
@@ -78,7 +79,7 @@
     RoutingTable table = table(CONFIGURATION, member("a", TUNIS, V1), member("b", SFAX, V1));
     outstanding.put(new UpstreamId("a"), 10);
     long toOther =
-        java.util.stream.IntStream.range(0, 100)
+        IntStream.range(0, 100)
             .filter(i -> chosen(table, "r" + i).orElseThrow().equals(new UpstreamId("b")))
             .count();
     assertThat(toOther).isGreaterThan(60);
@@ -113,10 +114,7 @@
   void oldVersionGoneNeverSendsAllToTheNewOne() {
     Configuration moving = change(new Change.StartMove(SAFETY, V2.version(), 0, 100), advance(10));
     RoutingTable table = table(moving, member("b", TUNIS, V2));
-    long toNew =
-        java.util.stream.IntStream.range(0, 1000)
-            .filter(i -> chosen(table, "r" + i).isPresent())
-            .count();
+    long toNew = IntStream.range(0, 1000).filter(i -> chosen(table, "r" + i).isPresent()).count();
     assertThat(toNew).isLessThan(30);
   }
 
@@ -199,7 +197,7 @@
                 new FailureDomain("sousse"),
                 200));
     long toRestored =
-        java.util.stream.IntStream.range(0, 10_000)
+        IntStream.range(0, 10_000)
             .filter(i -> chosen(table, "r" + i).orElseThrow().equals(new UpstreamId("b")))
             .count();
     assertThat(toRestored).isBetween(700L, 1300L);
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/Fleet.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/Fleet.java
@@ -21,9 +21,11 @@
 import io.hemlockbend.core.model.ChangeApplier;
 import io.hemlockbend.core.model.Configuration;
 import io.hemlockbend.core.model.Route;
+import io.hemlockbend.core.routing.RoutingInput;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Makes members and configurations of a given size, spread as in the size to design for. */
 final class Fleet {
@@ -53,6 +55,15 @@
     return ChangeApplier.apply(Configuration.EMPTY, changes);
   }
 
+  static RoutingInput routingInput(int members) {
+    return new RoutingInput(
+        configuration(TARGET_SERVICES),
+        members(members, TARGET_SERVICES),
+        Set.of(),
+        new FailureDomain("domain-0"),
+        0);
+  }
+
   static Route route(int service, int number) {
     return new Route(
         new RouteName("route-" + service + "-" + number),
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingDecisionProbe.java
@@ -1,17 +1,14 @@
 package io.hemlockbend.testkit.capacity;
 
-import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.RequestId;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.routing.Exclusions;
 import io.hemlockbend.core.routing.Router;
-import io.hemlockbend.core.routing.RoutingInput;
 import io.hemlockbend.core.routing.RoutingRequest;
 import io.hemlockbend.core.routing.RoutingTable;
 import io.hemlockbend.core.routing.UpstreamView;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /** Measures the choice of an upstream. */
@@ -37,14 +34,7 @@
 
   @Override
   public double measure(int size) {
-    RoutingTable table =
-        RoutingTable.build(
-            new RoutingInput(
-                Fleet.configuration(Fleet.TARGET_SERVICES),
-                Fleet.members(size * Fleet.TARGET_SERVICES, Fleet.TARGET_SERVICES),
-                Set.of(),
-                new FailureDomain("domain-0"),
-                0));
+    RoutingTable table = RoutingTable.build(Fleet.routingInput(size * Fleet.TARGET_SERVICES));
     Router router = new Router(IDLE);
     SplittableRandom random = new SplittableRandom(size);
     RoutingRequest request =
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableMemoryProbe.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/capacity/RoutingTableMemoryProbe.java
@@ -1,10 +1,8 @@
 package io.hemlockbend.testkit.capacity;
 
-import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.routing.RoutingInput;
 import io.hemlockbend.core.routing.RoutingTable;
 import java.util.List;
-import java.util.Set;
 
 /** Measures the heap that a routing table keeps besides members and configuration. */
 final class RoutingTableMemoryProbe implements Probe {
@@ -23,13 +21,7 @@
 
   @Override
   public double measure(int size) {
-    RoutingInput input =
-        new RoutingInput(
-            Fleet.configuration(Fleet.TARGET_SERVICES),
-            Fleet.members(size, Fleet.TARGET_SERVICES),
-            Set.of(),
-            new FailureDomain("domain-0"),
-            0);
+    RoutingInput input = Fleet.routingInput(size);
     return Retained.bytes(() -> RoutingTable.build(input)) / KIB;
   }
 }
