--- /dev/null
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
@@ -0,0 +1,23 @@
+package io.hemlockbend.core.placement;
+
+import io.hemlockbend.core.api.NodeId;
+
+/**
+ * An upstream that may take a request, as an entry sees it.
+ *
+ * @param node the node beside it
+ * @param running how many requests it runs or holds, with this entry's own up to now
+ * @param limit how many it may run at once; more than 0
+ * @param serviceMillis how long a request usually takes there; 0 when not known
+ * @param crossingMillis how long the way there and back takes
+ */
+public record PlacedUpstream(
+    NodeId node, double running, int limit, double serviceMillis, double crossingMillis) {
+  private static final double UNKNOWN_SERVICE_MILLIS = 50;
+
+  /** Returns roughly how long a request would take there. */
+  public double cost() {
+    double service = serviceMillis > 0 ? serviceMillis : UNKNOWN_SERVICE_MILLIS;
+    return service * (running + 1) / limit + crossingMillis;
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/UpstreamChooserTest.java
@@ -0,0 +1,37 @@
+package io.hemlockbend.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.NodeId;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class UpstreamChooserTest {
+  private final UpstreamChooser chooser = new UpstreamChooser(new SplittableRandom(7));
+
+  @Test
+  void choosesNothingAmongNothing() {
+    assertThat(chooser.choose(List.of())).isEmpty();
+  }
+
+  @Test
+  void neverChoosesTheMostLoadedOfThree() {
+    PlacedUpstream full = upstream("full", 9);
+    List<PlacedUpstream> all = List.of(upstream("a", 1), full, upstream("b", 2));
+    for (int i = 0; i < 200; i++) {
+      assertThat(chooser.choose(all)).isPresent().get().isNotEqualTo(full);
+    }
+  }
+
+  @Test
+  void weighsSpeedAgainstLoad() {
+    PlacedUpstream slowAndIdle = new PlacedUpstream(new NodeId("slow"), 0, 9, 400, 0);
+    PlacedUpstream fastAndBusy = new PlacedUpstream(new NodeId("fast"), 4, 9, 40, 0);
+    assertThat(chooser.choose(List.of(slowAndIdle, fastAndBusy))).contains(fastAndBusy);
+  }
+
+  private static PlacedUpstream upstream(String node, double running) {
+    return new PlacedUpstream(new NodeId(node), running, 9, 60, 0);
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/WeightedTurnsTest.java
@@ -0,0 +1,35 @@
+package io.hemlockbend.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.traffic.WeightedService;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WeightedTurnsTest {
+  private static final ServiceName BIG = new ServiceName("big");
+  private static final ServiceName SMALL = new ServiceName("small");
+
+  @Test
+  void givesEachServiceItsShareOfFewRequests() {
+    List<WeightedService> services =
+        List.of(new WeightedService(BIG, 90), new WeightedService(SMALL, 10));
+    WeightedTurns turns = new WeightedTurns(services, 0);
+    int small = 0;
+    for (int i = 0; i < 20; i++) {
+      small += turns.next().equals(SMALL) ? 1 : 0;
+    }
+    assertThat(small).isEqualTo(2);
+  }
+
+  @Test
+  void givesNothingToWeightZero() {
+    List<WeightedService> services =
+        List.of(new WeightedService(BIG, 1), new WeightedService(SMALL, 0));
+    WeightedTurns turns = new WeightedTurns(services, 13);
+    for (int i = 0; i < 50; i++) {
+      assertThat(turns.next()).isEqualTo(BIG);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpMessages.java
@@ -0,0 +1,121 @@
+package io.hemlockbend.proxy.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** Builds the heads of messages and knows which fields concern one connection only. */
+public final class HttpMessages {
+  private static final Set<String> CONNECTION_FIELDS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect");
+  private static final int HEAD_BYTES = 512;
+  private static final int FIRST_BODY_STATUS = 200;
+
+  private HttpMessages() {}
+
+  /** Returns the value of a field by its name in any case, or null. */
+  public static String value(List<HttpField> fields, String name) {
+    for (HttpField field : fields) {
+      if (field.getName().equalsIgnoreCase(name)) {
+        return field.getValue();
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Returns whether a field concerns one connection only and is not forwarded.
+   *
+   * @param field the field
+   * @param connectionValue the value of the connection field of its message, or null
+   */
+  public static boolean hopByHop(HttpField field, String connectionValue) {
+    String name = field.getName().toLowerCase(Locale.ROOT);
+    if (CONNECTION_FIELDS.contains(name)) {
+      return true;
+    }
+    if (connectionValue == null) {
+      return false;
+    }
+    for (String option : connectionValue.split(",")) {
+      if (option.trim().equalsIgnoreCase(name)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the head of a request, with its length when there is a body or may be one. */
+  public static ByteBuffer requestHead(HttpRequest request) {
+    StringBuilder head = new StringBuilder(HEAD_BYTES);
+    head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
+    append(head, request.fields());
+    boolean mayHaveBody = !"GET".equals(request.method()) && !"HEAD".equals(request.method());
+    if (request.body().length > 0 || mayHaveBody) {
+      head.append("Content-Length: ").append(request.body().length).append("\r\n");
+    }
+    return bytes(head);
+  }
+
+  /**
+   * Returns the head of an answer.
+   *
+   * @param reply the answer
+   * @param close whether the connection ends behind it
+   */
+  public static ByteBuffer replyHead(HttpReply reply, boolean close) {
+    StringBuilder head = new StringBuilder(HEAD_BYTES);
+    head.append("HTTP/1.1 ").append(reply.status()).append(' ');
+    head.append(reason(reply.status())).append("\r\n");
+    append(head, reply.fields());
+    if (bodyAllowed(reply.status())) {
+      head.append("Content-Length: ").append(reply.body().length).append("\r\n");
+    }
+    if (close) {
+      head.append("Connection: close\r\n");
+    }
+    return bytes(head);
+  }
+
+  /** Returns whether an answer of this status may have a body. */
+  public static boolean bodyAllowed(int status) {
+    return status >= FIRST_BODY_STATUS
+        && status != HttpStatus.NO_CONTENT_204
+        && status != HttpStatus.NOT_MODIFIED_304;
+  }
+
+  private static String reason(int status) {
+    String message = HttpStatus.getMessage(status);
+    return message == null ? "" : message;
+  }
+
+  private static void append(StringBuilder head, List<HttpField> fields) {
+    for (HttpField field : fields) {
+      head.append(field.getName()).append(": ");
+      if (field.getValue() != null) {
+        head.append(field.getValue());
+      }
+      head.append("\r\n");
+    }
+  }
+
+  private static ByteBuffer bytes(StringBuilder head) {
+    head.append("\r\n");
+    return ByteBuffer.wrap(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpServerConnection.java
@@ -0,0 +1,276 @@
+package io.hemlockbend.proxy.http;
+
+import io.hemlockbend.core.traffic.CallerLimits;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.loop.Timer;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+
+/**
+ * A caller's connection. Requests are handed on as soon as they are whole, also while earlier ones
+ * run; answers go out in the order of the requests. A caller that closes abandons its requests.
+ */
+public final class HttpServerConnection extends LoopConnection
+    implements HttpParser.RequestHandler {
+  private static final int MAX_UNANSWERED = 128;
+  private static final long LINGER_MILLIS = 500;
+  private static final long MAX_BODY_MILLIS = 60_000;
+  private static final ByteBuffer CONTINUE =
+      ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+
+  private final Supplier<CallerLimits> limits;
+  private final Consumer<Exchange> handler;
+  private final Consumer<HttpServerConnection> endedListener;
+  private final BooleanSupplier leaving;
+  private final HttpParser parser;
+  private final ArrayDeque<Exchange> unanswered = new ArrayDeque<>();
+  private final BodyBuffer body = new BodyBuffer();
+  private List<HttpField> fields = new ArrayList<>();
+  private String method;
+  private String target;
+  private HttpVersion version;
+  private long headersMillis;
+  private long usedMillis;
+  private Timer receiveTimer;
+  private boolean receiving;
+  private boolean closing;
+  private boolean refused;
+
+  /**
+   * Makes a connection.
+   *
+   * @param endPoint the caller's end point
+   * @param loop the event loop
+   * @param limits the bounds in force
+   * @param leaving whether connections are to end behind their next answer
+   * @param handler takes whole requests
+   * @param endedListener hears that the connection is over
+   */
+  public HttpServerConnection(
+      EndPoint endPoint,
+      EventLoop loop,
+      Supplier<CallerLimits> limits,
+      BooleanSupplier leaving,
+      Consumer<Exchange> handler,
+      Consumer<HttpServerConnection> endedListener) {
+    super(endPoint, loop);
+    this.limits = limits;
+    this.leaving = leaving;
+    this.handler = handler;
+    this.endedListener = endedListener;
+    this.parser = new HttpParser(this, limits.get().maxHeaderBytes(), HttpCompliance.RFC7230);
+    this.usedMillis = loop.millis();
+    watchIdle(limits.get().idleTimeoutMillis());
+  }
+
+  /** Ends the connection when no request is under way on it. */
+  public void closeIfIdle() {
+    if (unanswered.isEmpty() && !receiving && outbox().drained()) {
+      end(null);
+    }
+  }
+
+  /** Returns whether a request is being read or waits for its answer. */
+  public boolean busy() {
+    return receiving || !unanswered.isEmpty() || !outbox().drained();
+  }
+
+  @Override
+  protected void received(ByteBuffer bytes) {
+    usedMillis = loop().millis();
+    while (bytes.hasRemaining() && !closing && !isOver()) {
+      if (parser.isComplete()) {
+        parser.reset();
+      }
+      int before = bytes.remaining();
+      parser.parseNext(bytes);
+      if (bytes.remaining() == before && !parser.isComplete()) {
+        break;
+      }
+    }
+    BufferUtil.clear(bytes);
+  }
+
+  @Override
+  protected void inputEnded() {
+    end(null);
+  }
+
+  @Override
+  protected void ended(Throwable cause) {
+    stopReceiveTimer();
+    endedListener.accept(this);
+    while (!unanswered.isEmpty()) {
+      unanswered.poll().abandon();
+    }
+  }
+
+  @Override
+  public void startRequest(String requestMethod, String uri, HttpVersion httpVersion) {
+    receiving = true;
+    method = requestMethod;
+    target = uri;
+    version = httpVersion;
+    fields = new ArrayList<>();
+    stopReceiveTimer();
+    receiveTimer = loop().after(limits.get().headerTimeoutMillis(), () -> tooSlow("headers"));
+  }
+
+  @Override
+  public void parsedHeader(HttpField field) {
+    fields.add(field);
+  }
+
+  @Override
+  public boolean headerComplete() {
+    headersMillis = loop().millis();
+    stopReceiveTimer();
+    body.expect(parser.getContentLength(), limits.get().maxBodyBytes());
+    if (parser.getContentLength() > limits.get().maxBodyBytes()) {
+      refuse(HttpStatus.PAYLOAD_TOO_LARGE_413, "body too large");
+      return true;
+    }
+    receiveTimer = loop().after(MAX_BODY_MILLIS, () -> tooSlow("body"));
+    if (HttpMessages.value(fields, HttpHeader.EXPECT.asString()) != null) {
+      outbox().add(CONTINUE.duplicate());
+    }
+    return false;
+  }
+
+  @Override
+  public boolean content(ByteBuffer piece) {
+    if (!refused && !body.add(piece, limits.get().maxBodyBytes())) {
+      refuse(HttpStatus.PAYLOAD_TOO_LARGE_413, "body too large");
+    }
+    return false;
+  }
+
+  @Override
+  public boolean contentComplete() {
+    return false;
+  }
+
+  @Override
+  public boolean messageComplete() {
+    stopReceiveTimer();
+    receiving = false;
+    byte[] bytes = body.take();
+    if (closing || refused) {
+      return true;
+    }
+    HttpRequest request = new HttpRequest(method, target, fields, bytes);
+    Exchange exchange = new Exchange(this, request, headersMillis);
+    if (unanswered.size() >= MAX_UNANSWERED) {
+      unanswered.add(exchange);
+      exchange.respond(HttpReply.text(HttpStatus.SERVICE_UNAVAILABLE_503, "too many requests"));
+      return true;
+    }
+    unanswered.add(exchange);
+    handler.accept(exchange);
+    return true;
+  }
+
+  @Override
+  public void earlyEOF() {
+    end(null);
+  }
+
+  @Override
+  public void badMessage(HttpException failure) {
+    refuse(failure.getCode(), String.valueOf(failure.getReason()));
+  }
+
+  /** Sends the answers that are ready and whose turn it is. */
+  void replied() {
+    while (!unanswered.isEmpty() && unanswered.peek().answered() && !isOver()) {
+      Exchange exchange = unanswered.poll();
+      boolean last = unanswered.isEmpty() && !receiving;
+      boolean close = last && (refused || leaving.getAsBoolean() || wantsClose(exchange));
+      send(exchange, close);
+      if (close) {
+        closeAfterWriting();
+      }
+    }
+  }
+
+  private void send(Exchange exchange, boolean close) {
+    HttpReply reply = exchange.reply();
+    usedMillis = loop().millis();
+    outbox().add(HttpMessages.replyHead(reply, close));
+    if (!"HEAD".equals(exchange.request().method()) && HttpMessages.bodyAllowed(reply.status())) {
+      outbox().add(ByteBuffer.wrap(reply.body()));
+    }
+  }
+
+  private boolean wantsClose(Exchange exchange) {
+    String connection = exchange.request().field(HttpHeader.CONNECTION.asString());
+    return version == HttpVersion.HTTP_1_0
+        || connection != null && connection.toLowerCase(java.util.Locale.ROOT).contains("close");
+  }
+
+  /** Answers what cannot be handed on, behind the answers before it, and ends the connection. */
+  private void refuse(int status, String reason) {
+    if (refused) {
+      return;
+    }
+    refused = true;
+    receiving = false;
+    HttpRequest request = new HttpRequest("-", "-", List.of(), new byte[0]);
+    Exchange exchange = new Exchange(this, request, loop().millis());
+    unanswered.add(exchange);
+    exchange.respond(HttpReply.text(status, reason));
+  }
+
+  private void tooSlow(String part) {
+    refuse(HttpStatus.REQUEST_TIMEOUT_408, part + " took too long");
+  }
+
+  private void closeAfterWriting() {
+    closing = true;
+    outbox()
+        .whenDrained(
+            () -> {
+              getEndPoint().shutdownOutput();
+              loop().after(LINGER_MILLIS, () -> end(null));
+            });
+  }
+
+  private void watchIdle(long delayMillis) {
+    loop().after(delayMillis, this::checkIdle);
+  }
+
+  private void checkIdle() {
+    if (isOver()) {
+      return;
+    }
+    long idleMillis = loop().millis() - usedMillis;
+    long left = limits.get().idleTimeoutMillis() - idleMillis;
+    if (left <= 0 && !busy()) {
+      end(null);
+    } else {
+      watchIdle(Math.max(left, limits.get().idleTimeoutMillis() / 4));
+    }
+  }
+
+  private void stopReceiveTimer() {
+    if (receiveTimer != null) {
+      receiveTimer.cancel();
+      receiveTimer = null;
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -0,0 +1,297 @@
+package io.hemlockbend.proxy.loop;
+
+import io.hemlockbend.core.api.Clock;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs all connections and timers of a process on one thread. Jetty's selector hands every task to
+ * this loop's queue instead of a pool, so that nothing here needs a lock. All methods but {@link
+ * #execute}, {@link #start} and {@link #close} are called on the loop's thread once it runs.
+ *
+ * <p>Also the process's clock: milliseconds of a steady clock, so that a step of the time of day
+ * moves no deadline.
+ */
+public final class EventLoop implements Clock, AutoCloseable {
+  private static final Logger LOGGER = LoggerFactory.getLogger(EventLoop.class);
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final int BACKLOG = 512;
+  private static final long MAX_SELECT_MILLIS = 1_000;
+  private static final long CONNECT_TIMEOUT_MILLIS = 60_000;
+
+  /** Makes the connection of an end point that was opened. */
+  @FunctionalInterface
+  public interface ConnectionFactory {
+    /** Returns the connection that handles the end point. */
+    Connection connect(EndPoint endPoint);
+  }
+
+  private record Dial(ConnectionFactory factory, Consumer<Throwable> failed) {}
+
+  private final Queue<Runnable> handedIn = new ConcurrentLinkedQueue<>();
+  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private final ArrayDeque<Runnable> flushes = new ArrayDeque<>();
+  private final Map<SelectableChannel, ConnectionFactory> listeners = new HashMap<>();
+  private final Map<InetSocketAddress, ConnectionFactory> byLocalAddress = new HashMap<>();
+  private final LoopSelectorManager manager = new LoopSelectorManager();
+  private volatile Thread thread;
+  private long timerOrder;
+
+  /** Makes a loop; it runs from {@link #start} on. */
+  public EventLoop() {
+    manager.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+  }
+
+  @Override
+  public long millis() {
+    return System.nanoTime() / NANOS_PER_MILLI;
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @throws IllegalStateException when the selector cannot be opened
+   */
+  public void start() {
+    try {
+      manager.start();
+    } catch (Exception e) {
+      throw new IllegalStateException("the event loop did not start", e);
+    }
+  }
+
+  /** Runs a task on the loop's thread, soon; may be called by any thread. */
+  public void execute(Runnable task) {
+    handedIn.add(task);
+    if (Thread.currentThread() != thread) {
+      manager.wakeup();
+    }
+  }
+
+  /** Runs a task once, after what is ready now and before the loop waits. */
+  public void beforeWait(Runnable flush) {
+    flushes.add(flush);
+  }
+
+  /** Runs a task after a delay. */
+  public Timer after(long delayMillis, Runnable task) {
+    Timer timer = new Timer(millis() + Math.max(0, delayMillis), timerOrder++, task);
+    timers.add(timer);
+    return timer;
+  }
+
+  /** Runs a task again and again, the first time after one period. */
+  public void every(long periodMillis, Runnable task) {
+    after(
+        periodMillis,
+        () -> {
+          every(periodMillis, task);
+          task.run();
+        });
+  }
+
+  /**
+   * Listens on an address; may be called before {@link #start}.
+   *
+   * @param address where
+   * @param factory makes the connection of each caller
+   * @throws UncheckedIOException when the address cannot be bound
+   */
+  public void listen(InetSocketAddress address, ConnectionFactory factory) {
+    try {
+      ServerSocketChannel channel = ServerSocketChannel.open();
+      channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      channel.bind(address, BACKLOG);
+      channel.configureBlocking(false);
+      InetSocketAddress bound = (InetSocketAddress) channel.getLocalAddress();
+      byLocalAddress.put(bound, factory);
+      listeners.put(channel, factory);
+      manager.acceptor(channel);
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot listen on " + address, e);
+    }
+  }
+
+  /** Closes all listeners, so that new callers are turned away by the operating system. */
+  public void stopListening() {
+    for (SelectableChannel channel : listeners.keySet()) {
+      closeQuietly(channel);
+    }
+    listeners.clear();
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param address to where
+   * @param factory makes the connection once it is open
+   * @param failed hears why it was not opened
+   */
+  public void connect(
+      InetSocketAddress address, ConnectionFactory factory, Consumer<Throwable> failed) {
+    SocketChannel channel = null;
+    try {
+      channel = SocketChannel.open();
+      channel.configureBlocking(false);
+      SocketOptions.apply(channel);
+      Dial dial = new Dial(factory, failed);
+      if (channel.connect(address)) {
+        manager.accept(channel, dial);
+      } else {
+        manager.connect(channel, dial);
+      }
+    } catch (IOException | RuntimeException e) {
+      if (channel != null) {
+        closeQuietly(channel);
+      }
+      execute(() -> failed.accept(e));
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      manager.stop();
+    } catch (Exception e) {
+      LOGGER.warn("the event loop did not stop cleanly", e);
+    }
+  }
+
+  private void closeQuietly(SelectableChannel channel) {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      LOGGER.debug("closing {} failed", channel, e);
+    }
+  }
+
+  /** Runs what was handed in, what is due and the flushes; returns how long to wait then. */
+  private long runReady() {
+    runHandedIn();
+    runTimers();
+    while (!flushes.isEmpty()) {
+      run(flushes.poll());
+    }
+    if (!handedIn.isEmpty()) {
+      return 0;
+    }
+    Timer next = timers.peek();
+    return next == null ? MAX_SELECT_MILLIS : Math.max(0, next.dueMillis() - millis());
+  }
+
+  private void runHandedIn() {
+    int waiting = handedIn.size();
+    for (int i = 0; i < waiting; i++) {
+      Runnable task = handedIn.poll();
+      if (task != null) {
+        run(task);
+      }
+    }
+  }
+
+  private void runTimers() {
+    long now = millis();
+    while (!timers.isEmpty() && (timers.peek().cancelled() || timers.peek().dueMillis() <= now)) {
+      Timer timer = timers.poll();
+      run(timer::run);
+    }
+  }
+
+  private static void run(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOGGER.error("a task of the event loop failed", e);
+    }
+  }
+
+  private final class LoopSelectorManager extends SelectorManager {
+    private LoopSelector selector;
+
+    LoopSelectorManager() {
+      super(new LoopExecutor(), new LoopScheduler(), 1);
+      ((LoopScheduler) getScheduler()).attach(EventLoop.this);
+      ((LoopExecutor) getExecutor()).attach(EventLoop.this);
+    }
+
+    void wakeup() {
+      if (selector != null) {
+        selector.submit(ignored -> {});
+      }
+    }
+
+    @Override
+    protected ManagedSelector newSelector(int id) {
+      selector = new LoopSelector(this, id);
+      return selector;
+    }
+
+    @Override
+    protected void accepted(SelectableChannel channel) throws IOException {
+      SocketChannel socket = (SocketChannel) channel;
+      ConnectionFactory factory = byLocalAddress.get((InetSocketAddress) socket.getLocalAddress());
+      socket.configureBlocking(false);
+      SocketOptions.apply(socket);
+      accept(socket, new Dial(factory, ignored -> {}));
+    }
+
+    @Override
+    protected void onAcceptFailed(SelectableChannel server, Throwable cause) {
+      if (server.isOpen()) {
+        LOGGER.warn("accepting a connection failed", cause);
+      }
+    }
+
+    @Override
+    protected EndPoint newEndPoint(
+        SelectableChannel channel, ManagedSelector managed, SelectionKey key) {
+      return new SocketChannelEndPoint((SocketChannel) channel, managed, key, getScheduler());
+    }
+
+    @Override
+    public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object dial) {
+      return ((Dial) dial).factory().connect(endPoint);
+    }
+
+    @Override
+    protected void connectionFailed(SelectableChannel channel, Throwable cause, Object dial) {
+      execute(() -> ((Dial) dial).failed().accept(cause));
+    }
+  }
+
+  private final class LoopSelector extends ManagedSelector {
+    LoopSelector(SelectorManager manager, int id) {
+      super(manager, id);
+    }
+
+    @Override
+    protected int nioSelect(Selector selector, boolean now) throws IOException {
+      if (thread == null) {
+        thread = Thread.currentThread();
+      }
+      long waitMillis = now ? 0 : runReady();
+      return waitMillis == 0 ? selector.selectNow() : selector.select(waitMillis);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
@@ -0,0 +1,53 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.proxy.http.HttpServerConnection;
+import io.hemlockbend.proxy.loop.EventLoop;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The graceful stop of a node. Callers notice within about two seconds that the node is not ready;
+ * until then it serves them as usual and ends each connection behind its next answer. Then it
+ * closes what is idle and waits for the rest.
+ */
+final class Departure {
+  private static final long CALLERS_NOTICE_MILLIS = 2_600;
+  private static final long CHECK_MILLIS = 50;
+  private static final long MARGIN_MILLIS = 500;
+
+  private final EventLoop loop;
+  private final MeshNode node;
+  private final Set<HttpServerConnection> callers;
+  private final long graceMillis;
+  private final Runnable stopped;
+  private long beganMillis;
+
+  Departure(
+      EventLoop loop,
+      MeshNode node,
+      Set<HttpServerConnection> callers,
+      long graceMillis,
+      Runnable stopped) {
+    this.loop = loop;
+    this.node = node;
+    this.callers = callers;
+    this.graceMillis = graceMillis;
+    this.stopped = stopped;
+  }
+
+  void begin() {
+    beganMillis = loop.millis();
+    loop.after(CALLERS_NOTICE_MILLIS, this::check);
+  }
+
+  private void check() {
+    List.copyOf(callers).forEach(HttpServerConnection::closeIfIdle);
+    boolean graceOver = loop.millis() - beganMillis >= graceMillis - MARGIN_MILLIS;
+    if (!node.busy() || graceOver) {
+      loop.stopListening();
+      loop.after(CHECK_MILLIS, stopped);
+    } else {
+      loop.after(CHECK_MILLIS, this::check);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -0,0 +1,180 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.traffic.TrafficRoute;
+import io.hemlockbend.proxy.http.Exchange;
+import io.hemlockbend.proxy.http.HttpReply;
+import io.hemlockbend.proxy.loop.Timer;
+import io.hemlockbend.proxy.peer.RunEnd;
+import java.util.HashSet;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpStatus;
+
+/** A caller's request at its entry, from its arrival to its answer. */
+final class EntryCall {
+  private static final int MAX_PLACEMENTS = 5;
+  private static final long FULL_RETRY_MILLIS = 60;
+  private static final long NONE_RETRY_MILLIS = 150;
+
+  private final Entry entry;
+  private final Exchange exchange;
+  private final TrafficRoute route;
+  private final ServiceName service;
+  private final long deadlineMillis;
+  private final Set<NodeId> refusedBy = new HashSet<>();
+  private final Set<NodeId> ranOn = new HashSet<>();
+  private final Timer deadline;
+  private HttpReply failure;
+  private Runnable takeBack;
+  private String lastRefusal = "no upstream";
+  private int placements;
+  private boolean over;
+
+  EntryCall(
+      Entry entry,
+      Exchange exchange,
+      TrafficRoute route,
+      ServiceName service,
+      long deadlineMillis) {
+    this.entry = entry;
+    this.exchange = exchange;
+    this.route = route;
+    this.service = service;
+    this.deadlineMillis = deadlineMillis;
+    this.deadline = entry.loop().after(deadlineMillis - entry.loop().millis(), this::late);
+    exchange.onAbandoned(this::abandoned);
+  }
+
+  Exchange exchange() {
+    return exchange;
+  }
+
+  TrafficRoute route() {
+    return route;
+  }
+
+  ServiceName service() {
+    return service;
+  }
+
+  long remainingMillis() {
+    return deadlineMillis - entry.loop().millis();
+  }
+
+  long targetLeftMillis() {
+    return exchange.receivedMillis() + route.targetMillis() - entry.loop().millis();
+  }
+
+  boolean excluded(NodeId node) {
+    return refusedBy.contains(node) || ranOn.contains(node);
+  }
+
+  /** Places the request on an upstream, or refuses it when there is none. */
+  void place() {
+    if (placements >= MAX_PLACEMENTS) {
+      refuse(lastRefusal, FULL_RETRY_MILLIS);
+      return;
+    }
+    Placed placed = entry.choose(this);
+    if (placed == null) {
+      refuse(
+          placements == 0 ? "no upstream" : lastRefusal,
+          placements == 0 ? NONE_RETRY_MILLIS : FULL_RETRY_MILLIS);
+      return;
+    }
+    placements++;
+    NodeId node = placed.node();
+    Runnable back = entry.run(this, placed, end -> ended(node, end));
+    if (!over) {
+      takeBack = back;
+    }
+  }
+
+  private void ended(NodeId node, RunEnd end) {
+    if (over) {
+      return;
+    }
+    takeBack = null;
+    switch (end) {
+      case RunEnd.Answered answered -> answered(node, answered);
+      case RunEnd.NotRun notRun -> {
+        refusedBy.add(node);
+        lastRefusal = notRun.reason();
+        place();
+      }
+      case RunEnd.Lost lost -> {
+        ranOn.add(node);
+        if (failure == null) {
+          failure = Refusals.lost(lost.reason());
+        }
+        again(lost.reason());
+      }
+    }
+  }
+
+  private void answered(NodeId node, RunEnd.Answered answered) {
+    int status = answered.reply().status();
+    boolean failed = HttpStatus.isServerError(status) && status != HttpStatus.GATEWAY_TIMEOUT_504;
+    if (!failed || !route.idempotent()) {
+      finish(answered.reply(), "answered", node);
+      return;
+    }
+    ranOn.add(node);
+    failure = answered.reply();
+    again("status " + status);
+  }
+
+  /** Runs the request on another upstream when that is allowed, else gives the failure. */
+  private void again(String why) {
+    boolean allowed =
+        route.idempotent()
+            && ranOn.size() < route.maxAttempts()
+            && remainingMillis() > 0
+            && entry.hasCandidate(this)
+            && entry.takeRetry(service);
+    if (!allowed) {
+      finish(failure, why, null);
+      return;
+    }
+    entry.note("retry", exchange, "why", why, "route", route.name());
+    place();
+  }
+
+  private void refuse(String reason, long afterMillis) {
+    if (failure != null) {
+      finish(failure, reason, null);
+      return;
+    }
+    finish(Refusals.notRun(reason, afterMillis, entry.random()), "refused:" + reason, null);
+  }
+
+  private void late() {
+    if (over) {
+      return;
+    }
+    if (takeBack != null) {
+      takeBack.run();
+    }
+    finish(failure != null ? failure : Refusals.late(), "late", null);
+  }
+
+  private void abandoned() {
+    if (over) {
+      return;
+    }
+    over = true;
+    deadline.cancel();
+    if (takeBack != null) {
+      takeBack.run();
+    }
+    entry.ended(this, 0, "abandoned", null);
+  }
+
+  private void finish(HttpReply reply, String outcome, NodeId node) {
+    over = true;
+    deadline.cancel();
+    entry.ended(this, reply.status(), outcome, node);
+    exchange.respond(reply);
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -0,0 +1,330 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.traffic.CallerLimits;
+import io.hemlockbend.core.traffic.TrafficConfiguration;
+import io.hemlockbend.core.traffic.TrafficService;
+import io.hemlockbend.proxy.DecisionSink;
+import io.hemlockbend.proxy.http.HttpServerConnection;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.MoveShare;
+import io.hemlockbend.proxy.peer.NodeInfo;
+import io.hemlockbend.proxy.peer.NodeMessage;
+import io.hemlockbend.proxy.peer.NodeReport;
+import io.hemlockbend.proxy.peer.OperatorOrders;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.RunRequest;
+import io.hemlockbend.proxy.peer.UpstreamLoad;
+import io.hemlockbend.proxy.upstream.LocalUpstream;
+import io.hemlockbend.proxy.upstream.UpstreamState;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.eclipse.jetty.io.EndPoint;
+
+/**
+ * A node: entry of its callers, gate of its upstream and peer of all other nodes. Whoever embeds it
+ * feeds it with configurations, orders, nodes and the upstream's announcements.
+ */
+public final class MeshNode implements PeerMesh.Owner {
+  private static final long BEHIND_MILLIS = 400;
+  private static final long CHECK_MILLIS = 200;
+
+  private final EventLoop loop;
+  private final MeshSettings settings;
+  private final Function<byte[], TrafficConfiguration> decoder;
+  private final DecisionSink sink;
+  private final LocalUpstream upstream;
+  private final PeerMesh mesh;
+  private final ServiceVersions versions = new ServiceVersions();
+  private final Entry entry;
+  private final Set<HttpServerConnection> callers = new HashSet<>();
+  private final MoveLeader moves;
+  private TrafficConfiguration configuration;
+  private NodeMessage.Configuration document;
+  private OperatorOrders orders = OperatorOrders.NONE;
+  private long behindSinceMillis;
+  private boolean membersKnown;
+  private boolean storeReachable;
+  private boolean leaving;
+  private boolean announcePlanned;
+
+  /**
+   * Makes a node.
+   *
+   * @param loop the event loop
+   * @param settings what it needs to know
+   * @param decoder makes a configuration of its document
+   * @param outcomes keeps how moves end, on behalf of the node that leads them
+   * @param sink takes note of decisions
+   */
+  public MeshNode(
+      EventLoop loop,
+      MeshSettings settings,
+      Function<byte[], TrafficConfiguration> decoder,
+      MoveLeader.Outcomes outcomes,
+      DecisionSink sink) {
+    this.loop = loop;
+    this.settings = settings;
+    this.decoder = decoder;
+    this.sink = sink;
+    this.upstream =
+        new LocalUpstream(loop, settings.upstream(), settings.names(), sink, this::announceSoon);
+    this.mesh = new PeerMesh(loop, settings.self(), this, sink);
+    this.entry =
+        new Entry(
+            loop,
+            settings.names(),
+            settings.service(),
+            mesh,
+            upstream,
+            versions,
+            settings.entry(),
+            sink);
+    this.moves = new MoveLeader(loop, mesh, this, versions, outcomes, sink);
+  }
+
+  /** Opens the listeners for callers and for other nodes. */
+  public void listen() {
+    loop.listen(settings.self().address(), mesh::accept);
+    loop.listen(settings.callers(), this::acceptCaller);
+    loop.every(CHECK_MILLIS, this::fetchWhenBehind);
+  }
+
+  /** Returns the upstream beside the node. */
+  public LocalUpstream upstream() {
+    return upstream;
+  }
+
+  /** Returns the entry of callers. */
+  public Entry entry() {
+    return entry;
+  }
+
+  /** Returns the links with other nodes. */
+  public PeerMesh mesh() {
+    return mesh;
+  }
+
+  /** Returns the configuration in force, or null. */
+  public TrafficConfiguration configuration() {
+    return configuration;
+  }
+
+  /** Returns the orders in force. */
+  public OperatorOrders orders() {
+    return orders;
+  }
+
+  /** Returns whether the node is to get callers' requests. */
+  public boolean ready() {
+    return configuration != null && membersKnown && !leaving;
+  }
+
+  /** Returns whether the node stops. */
+  public boolean leaving() {
+    return leaving;
+  }
+
+  /** Takes in that the other nodes were read from the store. */
+  public void membersKnown() {
+    membersKnown = true;
+  }
+
+  /** Takes in whether the store answers. */
+  public void takeStoreReachable(boolean reachable) {
+    if (storeReachable != reachable) {
+      storeReachable = reachable;
+      sink.decided(reachable ? "store-reached" : "store-lost", null);
+    }
+  }
+
+  /**
+   * Takes in a configuration; one that is not newer than the one in force is ignored.
+   *
+   * @param bytes the document, as the operator wrote it
+   */
+  public void takeConfiguration(byte[] bytes) {
+    TrafficConfiguration news;
+    try {
+      news = decoder.apply(bytes);
+    } catch (RuntimeException e) {
+      sink.decided("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
+      return;
+    }
+    if (configuration != null && news.version() <= configuration.version()) {
+      return;
+    }
+    configuration = news;
+    document = new NodeMessage.Configuration(news.version(), bytes);
+    entry.configuration(news);
+    TrafficService service = news.services().get(settings.service());
+    if (service != null) {
+      upstream.service(service);
+    }
+    sink.decided("configuration", null, "version", news.version(), "routes", news.routes().size());
+    announceSoon();
+  }
+
+  /** Takes in the operator's orders; older ones are ignored. */
+  public void takeOrders(OperatorOrders news) {
+    if (news.version() <= orders.version()) {
+      return;
+    }
+    orders = news;
+    versions.orders(news);
+    entry.withdrawn(news.withdrawn());
+    upstream.withdrawn(news.withdrawn().contains(settings.self().domain()));
+    moves.orders(news);
+    sink.decided(
+        "orders",
+        null,
+        "version",
+        news.version(),
+        "withdrawn",
+        news.withdrawn(),
+        "moves",
+        news.moves());
+    announceSoon();
+  }
+
+  /**
+   * Stops: new callers are turned away, requests under way get their answers.
+   *
+   * @param stopped runs when nothing is under way any more or the grace is over
+   */
+  public void stop(Runnable stopped) {
+    if (!leaving) {
+      leaving = true;
+      sink.decided("stopping", null, "open", entry.open());
+      mesh.stop();
+      announceSoon();
+      new Departure(loop, this, callers, settings.graceMillis(), stopped).begin();
+    }
+  }
+
+  @Override
+  public NodeReport report() {
+    return new NodeReport(
+        configuration == null ? -1 : configuration.version(),
+        orders.version(),
+        leaving,
+        storeReachable,
+        upstream.state() == UpstreamState.UNKNOWN ? null : upstream.record(),
+        upstream.load(),
+        upstream.counts(),
+        versions.shares());
+  }
+
+  @Override
+  public UpstreamLoad load() {
+    return upstream.load();
+  }
+
+  @Override
+  public void reported(NodeId node, NodeReport report) {
+    if (report.upstream() != null) {
+      versions.seen(report.upstream().service(), report.upstream().version());
+    }
+    boolean news = false;
+    for (MoveShare share : report.moves()) {
+      news |= versions.share(share);
+    }
+    if (news) {
+      announceSoon();
+    }
+  }
+
+  @Override
+  public Runnable run(RunRequest request, Consumer<RunEnd> listener) {
+    return upstream.run(request, listener);
+  }
+
+  @Override
+  public void discovered(NodeInfo node) {
+    sink.decided("node-found", null, "peer", node.node(), "address", node.address());
+  }
+
+  @Override
+  public List<NodeMessage> documents() {
+    List<NodeMessage> all = new ArrayList<>();
+    if (document != null) {
+      all.add(document);
+    }
+    if (orders.version() >= 0) {
+      all.add(new NodeMessage.Orders(orders));
+    }
+    return all;
+  }
+
+  @Override
+  public void document(NodeMessage received) {
+    switch (received) {
+      case NodeMessage.Configuration news -> takeConfiguration(news.document());
+      case NodeMessage.Orders news -> takeOrders(news.orders());
+      default -> throw new IllegalArgumentException("no document: " + received);
+    }
+  }
+
+  /** Returns whether requests or answers are under way at this node. */
+  boolean busy() {
+    return entry.open() > 0
+        || upstream.running() > 0
+        || callers.stream().anyMatch(HttpServerConnection::busy);
+  }
+
+  /** Tells the other nodes soon what changed here; changes of one moment are told together. */
+  void announceSoon() {
+    if (!announcePlanned) {
+      announcePlanned = true;
+      loop.beforeWait(
+          () -> {
+            announcePlanned = false;
+            mesh.announce();
+          });
+    }
+  }
+
+  boolean storeReachable() {
+    return storeReachable;
+  }
+
+  private HttpServerConnection acceptCaller(EndPoint endPoint) {
+    HttpServerConnection connection =
+        new HttpServerConnection(
+            endPoint, loop, this::limits, () -> leaving, entry::handle, callers::remove);
+    callers.add(connection);
+    return connection;
+  }
+
+  private CallerLimits limits() {
+    return configuration == null ? CallerLimits.DEFAULT : configuration.limits();
+  }
+
+  /** Asks a node that is ahead, when the store has not brought its news here for a while. */
+  private void fetchWhenBehind() {
+    long nowMillis = loop.millis();
+    NodeId ahead = null;
+    long version = configuration == null ? -1 : configuration.version();
+    for (Peer peer : mesh.peers()) {
+      if (mesh.alive(peer)
+          && (peer.report.configurationVersion() > version
+              || peer.report.ordersVersion() > orders.version())) {
+        ahead = peer.info.node();
+        if (peer.info.domain().equals(settings.self().domain())) {
+          break;
+        }
+      }
+    }
+    if (ahead == null) {
+      behindSinceMillis = 0;
+    } else if (behindSinceMillis == 0) {
+      behindSinceMillis = nowMillis;
+    } else if (nowMillis - behindSinceMillis >= BEHIND_MILLIS) {
+      mesh.fetchFrom(ahead);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -0,0 +1,62 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.proxy.peer.NodeInfo;
+import io.hemlockbend.proxy.peer.NodeReport;
+import io.hemlockbend.proxy.peer.PeerConnection;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.UpstreamLoad;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** What this node knows of another one, and the requests that it runs for this node. */
+final class Peer {
+  NodeInfo info;
+  PeerConnection link;
+  NodeReport report;
+  UpstreamLoad load = UpstreamLoad.CLOSED;
+  long reportMillis;
+  long dialedMillis;
+  long failedDials;
+  long pingedMillis;
+  boolean dialing;
+  double roundTripMillis;
+  private final Map<Long, Consumer<RunEnd>> runs = new HashMap<>();
+  private int outstandingAtLoad;
+
+  Peer(NodeInfo info) {
+    this.info = info;
+  }
+
+  /** Returns how many requests the upstream runs or holds, with this node's own up to now. */
+  double busy() {
+    int othersThen = Math.max(0, load.running() + load.queued() - outstandingAtLoad);
+    return othersThen + runs.size();
+  }
+
+  void load(UpstreamLoad news) {
+    load = news;
+    outstandingAtLoad = runs.size();
+  }
+
+  void begun(long stream, Consumer<RunEnd> listener) {
+    runs.put(stream, listener);
+  }
+
+  Consumer<RunEnd> ended(long stream) {
+    return runs.remove(stream);
+  }
+
+  int outstanding() {
+    return runs.size();
+  }
+
+  /** Ends all requests under way, which may have run. */
+  void loseAll(String reason) {
+    List<Consumer<RunEnd>> lost = new ArrayList<>(runs.values());
+    runs.clear();
+    lost.forEach(listener -> listener.accept(new RunEnd.Lost(reason)));
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -0,0 +1,333 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.proxy.DecisionSink;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.NodeInfo;
+import io.hemlockbend.proxy.peer.NodeMessage;
+import io.hemlockbend.proxy.peer.NodeReport;
+import io.hemlockbend.proxy.peer.PeerConnection;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.RunRequest;
+import io.hemlockbend.proxy.peer.UpstreamLoad;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+
+/**
+ * The links with all other nodes. Each node dials every other one: its requests and pings go over
+ * the link that it dialed, and the answers and reports of the other side come back on it. A link
+ * without answers to its pings is not used, and is dialed anew when it stays so.
+ */
+public final class PeerMesh {
+  private static final long PING_MILLIS = 500;
+  private static final long SUSPECT_MILLIS = 1_400;
+  private static final long DEAD_MILLIS = 3_000;
+  private static final long REDIAL_MILLIS = 300;
+  private static final long MAX_REDIAL_MILLIS = 2_000;
+  private static final long DIAL_TIMEOUT_MILLIS = 1_500;
+  private static final long FETCH_AGAIN_MILLIS = 400;
+
+  /** What the rest of the node does for the links. */
+  public interface Owner {
+    /** Returns what this node tells about itself. */
+    NodeReport report();
+
+    /** Returns how loaded the upstream beside this node is. */
+    UpstreamLoad load();
+
+    /** Hears a report. */
+    void reported(NodeId node, NodeReport report);
+
+    /** Runs a request on the upstream beside this node; returns what takes it back. */
+    Runnable run(RunRequest request, Consumer<RunEnd> listener);
+
+    /** Hears of nodes that it did not know. */
+    void discovered(NodeInfo node);
+
+    /** Returns the documents that this node holds, for another one that is behind. */
+    List<NodeMessage> documents();
+
+    /** Takes in a document of another node. */
+    void document(NodeMessage document);
+  }
+
+  private final EventLoop loop;
+  private final NodeInfo self;
+  private final Owner owner;
+  private final DecisionSink sink;
+  private final Map<NodeId, Peer> peers = new TreeMap<>();
+  private final Set<PeerConnection> accepted = new HashSet<>();
+  private long nextStream = 1;
+  private long fetchedMillis;
+  private boolean stopped;
+
+  /** Makes the links of a node; none is open until nodes are known. */
+  public PeerMesh(EventLoop loop, NodeInfo self, Owner owner, DecisionSink sink) {
+    this.loop = loop;
+    this.self = self;
+    this.owner = owner;
+    this.sink = sink;
+    loop.every(PING_MILLIS, this::tick);
+  }
+
+  /** Makes the connection of a node that dialed this one. */
+  public Connection accept(EndPoint endPoint) {
+    return new PeerConnection(endPoint, loop, new AcceptedLink());
+  }
+
+  /** Takes in where a node is; a later start of it replaces an earlier one. */
+  public void learn(NodeInfo info) {
+    if (info.node().equals(self.node()) || stopped) {
+      return;
+    }
+    Peer peer = peers.get(info.node());
+    if (peer == null) {
+      peer = new Peer(info);
+      peers.put(info.node(), peer);
+      owner.discovered(info);
+      dial(peer);
+    } else if (info.startedMillis() > peer.info.startedMillis()) {
+      boolean moved = !info.address().equals(peer.info.address());
+      peer.info = info;
+      peer.failedDials = 0;
+      if (moved && peer.link != null) {
+        peer.link.end(null);
+      }
+      if (peer.link == null) {
+        dial(peer);
+      }
+    }
+  }
+
+  /** Returns all other nodes that are known, by name. */
+  Collection<Peer> peers() {
+    return peers.values();
+  }
+
+  /** Returns all nodes that are known, this one first. */
+  public List<NodeInfo> known() {
+    List<NodeInfo> all = new ArrayList<>();
+    all.add(self);
+    peers.values().forEach(peer -> all.add(peer.info));
+    return all;
+  }
+
+  /** Returns this node. */
+  public NodeInfo self() {
+    return self;
+  }
+
+  /** Returns whether a node answers. */
+  boolean alive(Peer peer) {
+    return peer.link != null
+        && peer.report != null
+        && loop.millis() - peer.reportMillis < SUSPECT_MILLIS;
+  }
+
+  /** Returns whether the node of a name answers. */
+  public boolean alive(NodeId node) {
+    Peer peer = peers.get(node);
+    return peer != null && alive(peer);
+  }
+
+  /** Sends a request to a peer; returns what takes it back. */
+  Runnable run(Peer peer, RunRequest request, Consumer<RunEnd> listener) {
+    if (peer.link == null) {
+      listener.accept(new RunEnd.NotRun("no link"));
+      return () -> {};
+    }
+    long stream = nextStream++;
+    PeerConnection link = peer.link;
+    peer.begun(stream, listener);
+    link.send(new NodeMessage.Run(stream, request));
+    return () -> {
+      if (peer.ended(stream) != null) {
+        link.send(new NodeMessage.Cancel(stream));
+      }
+    };
+  }
+
+  /** Tells all nodes at once what changed here. */
+  public void announce() {
+    NodeMessage report = new NodeMessage.Report(0, owner.report());
+    accepted.forEach(link -> link.send(report));
+  }
+
+  /** Asks one node that is ahead of this one for its documents. */
+  public void fetchFrom(NodeId node) {
+    Peer peer = peers.get(node);
+    long nowMillis = loop.millis();
+    if (peer != null && alive(peer) && nowMillis - fetchedMillis >= FETCH_AGAIN_MILLIS) {
+      fetchedMillis = nowMillis;
+      peer.link.send(new NodeMessage.Fetch());
+    }
+  }
+
+  /** Stops dialing. */
+  public void stop() {
+    stopped = true;
+  }
+
+  private void tick() {
+    long nowMillis = loop.millis();
+    for (Peer peer : peers.values()) {
+      if (peer.link == null) {
+        redialWhenDue(peer, nowMillis);
+      } else if (nowMillis - Math.max(peer.reportMillis, peer.dialedMillis) > DEAD_MILLIS) {
+        sink.decided("link-silent", null, "peer", peer.info.node());
+        peer.link.end(null);
+      } else {
+        peer.link.send(new NodeMessage.Ping(nowMillis));
+      }
+    }
+  }
+
+  private void redialWhenDue(Peer peer, long nowMillis) {
+    long pause = Math.min(MAX_REDIAL_MILLIS, REDIAL_MILLIS * (1 + peer.failedDials));
+    if (!peer.dialing && nowMillis - peer.dialedMillis >= pause) {
+      dial(peer);
+    } else if (peer.dialing && nowMillis - peer.dialedMillis >= DIAL_TIMEOUT_MILLIS) {
+      peer.dialing = false;
+      peer.failedDials++;
+    }
+  }
+
+  private void dial(Peer peer) {
+    if (stopped) {
+      return;
+    }
+    peer.dialing = true;
+    peer.dialedMillis = loop.millis();
+    loop.connect(
+        peer.info.address(),
+        endPoint -> new PeerConnection(endPoint, loop, new DialedLink(peer)),
+        cause -> {
+          peer.dialing = false;
+          peer.failedDials++;
+        });
+  }
+
+  private final class DialedLink implements PeerConnection.Listener {
+    private final Peer peer;
+
+    DialedLink(Peer peer) {
+      this.peer = peer;
+    }
+
+    @Override
+    public void opened(PeerConnection connection) {
+      if (peer.link != null || peers.get(peer.info.node()) != peer) {
+        connection.end(null);
+        return;
+      }
+      peer.dialing = false;
+      peer.failedDials = 0;
+      peer.link = connection;
+      peer.dialedMillis = loop.millis();
+      connection.send(new NodeMessage.Hello(self, known()));
+      connection.send(new NodeMessage.Ping(loop.millis()));
+      sink.decided("link-open", null, "peer", peer.info.node());
+    }
+
+    @Override
+    public void received(PeerConnection connection, NodeMessage message) {
+      switch (message) {
+        case NodeMessage.Report report -> reported(report);
+        case NodeMessage.Ended ended -> {
+          Consumer<RunEnd> listener = peer.ended(ended.stream());
+          peer.load(ended.load());
+          if (listener != null) {
+            listener.accept(ended.end());
+          }
+        }
+        case NodeMessage.Configuration document -> owner.document(document);
+        case NodeMessage.Orders document -> owner.document(document);
+        default -> connection.end(new IllegalStateException("unexpected " + message));
+      }
+    }
+
+    private void reported(NodeMessage.Report news) {
+      long nowMillis = loop.millis();
+      peer.report = news.report();
+      peer.load(news.report().load());
+      if (news.pingMillis() > 0) {
+        peer.reportMillis = nowMillis;
+        peer.roundTripMillis = nowMillis - news.pingMillis();
+      }
+      owner.reported(peer.info.node(), news.report());
+    }
+
+    @Override
+    public void closed(PeerConnection connection, Throwable cause) {
+      if (peer.link != connection) {
+        return;
+      }
+      peer.link = null;
+      peer.report = null;
+      peer.dialedMillis = loop.millis();
+      sink.decided("link-lost", null, "peer", peer.info.node(), "cause", String.valueOf(cause));
+      peer.loseAll("link to " + peer.info.node() + " lost");
+    }
+  }
+
+  private final class AcceptedLink implements PeerConnection.Listener {
+    private final Map<Long, Runnable> runs = new TreeMap<>();
+
+    @Override
+    public void opened(PeerConnection connection) {
+      accepted.add(connection);
+    }
+
+    @Override
+    public void received(PeerConnection connection, NodeMessage message) {
+      switch (message) {
+        case NodeMessage.Hello hello -> {
+          learn(hello.sender());
+          hello.known().forEach(PeerMesh.this::learn);
+        }
+        case NodeMessage.Ping ping ->
+            connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
+        case NodeMessage.Run run -> run(connection, run);
+        case NodeMessage.Cancel cancel -> {
+          Runnable takeBack = runs.remove(cancel.stream());
+          if (takeBack != null) {
+            takeBack.run();
+          }
+        }
+        case NodeMessage.Fetch ignored -> owner.documents().forEach(connection::send);
+        default -> connection.end(new IllegalStateException("unexpected " + message));
+      }
+    }
+
+    private void run(PeerConnection connection, NodeMessage.Run run) {
+      boolean[] ended = new boolean[1];
+      Runnable takeBack =
+          owner.run(
+              run.request(),
+              end -> {
+                ended[0] = true;
+                runs.remove(run.stream());
+                connection.send(new NodeMessage.Ended(run.stream(), end, owner.load()));
+              });
+      if (!ended[0]) {
+        runs.put(run.stream(), takeBack);
+      }
+    }
+
+    @Override
+    public void closed(PeerConnection connection, Throwable cause) {
+      accepted.remove(connection);
+      List<Runnable> left = new ArrayList<>(runs.values());
+      runs.clear();
+      left.forEach(Runnable::run);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The traffic path of a node. */
+package io.hemlockbend.proxy;
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -0,0 +1,71 @@
+package io.hemlockbend.proxy.peer;
+
+import java.util.List;
+
+/** A message between two nodes. */
+public sealed interface NodeMessage {
+  /**
+   * The first message of each side.
+   *
+   * @param sender the node that sends it
+   * @param known all nodes that it knows
+   */
+  record Hello(NodeInfo sender, List<NodeInfo> known) implements NodeMessage {}
+
+  /**
+   * What the sender tells about itself: the answer to a ping, or news.
+   *
+   * @param pingMillis the time in the ping that it answers; 0 when nobody asked
+   * @param report the report
+   */
+  record Report(long pingMillis, NodeReport report) implements NodeMessage {}
+
+  /**
+   * Asks the receiver to run a request on its upstream.
+   *
+   * @param stream the request's number on this connection
+   * @param request the request
+   */
+  record Run(long stream, RunRequest request) implements NodeMessage {}
+
+  /**
+   * Tells how a request ended.
+   *
+   * @param stream the request's number on this connection
+   * @param end how it ended
+   * @param load the load of the upstream then
+   */
+  record Ended(long stream, RunEnd end, UpstreamLoad load) implements NodeMessage {}
+
+  /**
+   * The caller left or no longer waits.
+   *
+   * @param stream the request's number on this connection
+   */
+  record Cancel(long stream) implements NodeMessage {}
+
+  /**
+   * Asks for a report at once; shows both sides that the link works both ways.
+   *
+   * @param sentMillis the sender's time, given back in the answer
+   */
+  record Ping(long sentMillis) implements NodeMessage {}
+
+  /** Asks for the configuration and the orders that the receiver has. */
+  record Fetch() implements NodeMessage {}
+
+  /**
+   * A whole configuration, as the operator wrote it.
+   *
+   * @param version its version
+   * @param document its bytes
+   */
+  record Configuration(long version, byte[] document) implements NodeMessage {}
+
+  /**
+   * The operator's orders.
+   *
+   * @param orders the orders
+   */
+  record Orders(OperatorOrders orders) implements NodeMessage {}
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -0,0 +1,142 @@
+package io.hemlockbend.proxy.peer;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.proxy.peer.NodeMessage.Cancel;
+import io.hemlockbend.proxy.peer.NodeMessage.Configuration;
+import io.hemlockbend.proxy.peer.NodeMessage.Ended;
+import io.hemlockbend.proxy.peer.NodeMessage.Fetch;
+import io.hemlockbend.proxy.peer.NodeMessage.Hello;
+import io.hemlockbend.proxy.peer.NodeMessage.Orders;
+import io.hemlockbend.proxy.peer.NodeMessage.Ping;
+import io.hemlockbend.proxy.peer.NodeMessage.Report;
+import io.hemlockbend.proxy.peer.NodeMessage.Run;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** The MessagePack form of messages: a number for the kind, then the fields in their order. */
+final class NodeMessageCodec {
+  private static final int HELLO = 1;
+  private static final int REPORT = 2;
+  private static final int RUN = 3;
+  private static final int ENDED = 4;
+  private static final int CANCEL = 5;
+  private static final int CONFIGURATION = 6;
+  private static final int PING = 7;
+  private static final int FETCH = 8;
+  private static final int ORDERS = 9;
+
+  private NodeMessageCodec() {}
+
+  /** Returns the frame of a message: its length in four bytes, high byte first, and its form. */
+  static ByteBuffer frame(NodeMessage message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      write(packer, message);
+      byte[] body = packer.toByteArray();
+      ByteBuffer frame = ByteBuffer.allocate(Integer.BYTES + body.length);
+      return frame.putInt(body.length).put(body).flip();
+    } catch (IOException e) {
+      throw new PeerException("cannot encode " + message.getClass().getSimpleName(), e);
+    }
+  }
+
+  /**
+   * Reads a message from its form without the length.
+   *
+   * @throws PeerException when it is malformed
+   */
+  static NodeMessage read(byte[] body) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+      return readMessage(unpacker);
+    } catch (IOException | RuntimeException e) {
+      throw new PeerException("malformed message of " + body.length + " bytes", e);
+    }
+  }
+
+  private static void write(MessageBufferPacker packer, NodeMessage message) throws IOException {
+    switch (message) {
+      case Hello hello -> {
+        packer.packInt(HELLO);
+        writeNode(packer, hello.sender());
+        packer.packArrayHeader(hello.known().size());
+        for (NodeInfo node : hello.known()) {
+          writeNode(packer, node);
+        }
+      }
+      case Report report -> {
+        packer.packInt(REPORT).packLong(report.pingMillis());
+        ReportCodec.write(packer, report.report());
+      }
+      case Run run -> {
+        packer.packInt(RUN).packLong(run.stream());
+        RunCodec.writeRequest(packer, run.request());
+      }
+      case Ended ended -> {
+        packer.packInt(ENDED).packLong(ended.stream());
+        RunCodec.writeEnd(packer, ended.end());
+        ReportCodec.writeLoad(packer, ended.load());
+      }
+      case Cancel cancel -> packer.packInt(CANCEL).packLong(cancel.stream());
+      case Configuration configuration -> {
+        packer.packInt(CONFIGURATION).packLong(configuration.version());
+        packer.packBinaryHeader(configuration.document().length);
+        packer.writePayload(configuration.document());
+      }
+      case Ping ping -> packer.packInt(PING).packLong(ping.sentMillis());
+      case Fetch ignored -> packer.packInt(FETCH);
+      case Orders orders -> {
+        packer.packInt(ORDERS);
+        OrdersCodec.write(packer, orders.orders());
+      }
+    }
+  }
+
+  private static NodeMessage readMessage(MessageUnpacker unpacker) throws IOException {
+    int kind = unpacker.unpackInt();
+    return switch (kind) {
+      case HELLO -> {
+        NodeInfo sender = readNode(unpacker);
+        int count = unpacker.unpackArrayHeader();
+        List<NodeInfo> known = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+          known.add(readNode(unpacker));
+        }
+        yield new Hello(sender, known);
+      }
+      case REPORT -> new Report(unpacker.unpackLong(), ReportCodec.read(unpacker));
+      case RUN -> new Run(unpacker.unpackLong(), RunCodec.readRequest(unpacker));
+      case ENDED -> {
+        long stream = unpacker.unpackLong();
+        RunEnd end = RunCodec.readEnd(unpacker);
+        yield new Ended(stream, end, ReportCodec.readLoad(unpacker));
+      }
+      case CANCEL -> new Cancel(unpacker.unpackLong());
+      case CONFIGURATION -> {
+        long version = unpacker.unpackLong();
+        yield new Configuration(version, unpacker.readPayload(unpacker.unpackBinaryHeader()));
+      }
+      case PING -> new Ping(unpacker.unpackLong());
+      case FETCH -> new Fetch();
+      case ORDERS -> new Orders(OrdersCodec.read(unpacker));
+      default -> throw new PeerException("unknown kind of message " + kind, null);
+    };
+  }
+
+  private static void writeNode(MessageBufferPacker packer, NodeInfo node) throws IOException {
+    packer.packString(node.node().value()).packString(node.ip()).packInt(node.port());
+    packer.packString(node.domain().value()).packLong(node.startedMillis());
+  }
+
+  private static NodeInfo readNode(MessageUnpacker unpacker) throws IOException {
+    NodeId node = new NodeId(unpacker.unpackString());
+    String ip = unpacker.unpackString();
+    int port = unpacker.unpackInt();
+    FailureDomain domain = new FailureDomain(unpacker.unpackString());
+    return new NodeInfo(node, ip, port, domain, unpacker.unpackLong());
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/OrdersCodec.java
@@ -0,0 +1,51 @@
+package io.hemlockbend.proxy.peer;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionName;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The MessagePack form of the operator's orders. */
+final class OrdersCodec {
+  private OrdersCodec() {}
+
+  static void write(MessageBufferPacker packer, OperatorOrders orders) throws IOException {
+    packer.packLong(orders.version());
+    packer.packArrayHeader(orders.withdrawn().size());
+    for (FailureDomain domain : orders.withdrawn()) {
+      packer.packString(domain.value());
+    }
+    packer.packArrayHeader(orders.moves().size());
+    for (MoveOrder move : orders.moves()) {
+      packer.packString(move.service().value()).packString(move.to().value());
+      packer.packLong(move.order()).packLong(move.durationMillis());
+      packer.packInt(move.state().ordinal());
+    }
+  }
+
+  static OperatorOrders read(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    int domains = unpacker.unpackArrayHeader();
+    Set<FailureDomain> withdrawn = new HashSet<>();
+    for (int i = 0; i < domains; i++) {
+      withdrawn.add(new FailureDomain(unpacker.unpackString()));
+    }
+    int count = unpacker.unpackArrayHeader();
+    List<MoveOrder> moves = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      ServiceName service = new ServiceName(unpacker.unpackString());
+      VersionName to = new VersionName(unpacker.unpackString());
+      long order = unpacker.unpackLong();
+      long duration = unpacker.unpackLong();
+      MoveOrder.State state = MoveOrder.State.values()[unpacker.unpackInt()];
+      moves.add(new MoveOrder(service, to, order, duration, state));
+    }
+    return new OperatorOrders(version, withdrawn, moves);
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -0,0 +1,112 @@
+package io.hemlockbend.proxy.peer;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.traffic.UpstreamRecord;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The MessagePack form of node reports. */
+final class ReportCodec {
+  private ReportCodec() {}
+
+  static void write(MessageBufferPacker packer, NodeReport report) throws IOException {
+    packer.packLong(report.configurationVersion()).packLong(report.ordersVersion());
+    packer.packBoolean(report.leaving()).packBoolean(report.storeReachable());
+    packer.packBoolean(report.upstream() != null);
+    if (report.upstream() != null) {
+      writeRecord(packer, report.upstream());
+    }
+    writeLoad(packer, report.load());
+    packer.packArrayHeader(report.counts().size());
+    for (RouteCounts counts : report.counts()) {
+      packer.packString(counts.route().value()).packLong(counts.calls());
+      packer.packLong(counts.failures()).packDouble(counts.totalMillis());
+    }
+    packer.packArrayHeader(report.moves().size());
+    for (MoveShare move : report.moves()) {
+      packer.packString(move.service().value()).packString(move.to().value());
+      packer.packLong(move.order()).packLong(move.step()).packInt(move.permille());
+      packer.packLong(move.elapsedMillis()).packInt(move.state().ordinal());
+    }
+  }
+
+  static NodeReport read(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    long ordersVersion = unpacker.unpackLong();
+    boolean leaving = unpacker.unpackBoolean();
+    boolean storeReachable = unpacker.unpackBoolean();
+    UpstreamRecord record = unpacker.unpackBoolean() ? readRecord(unpacker) : null;
+    UpstreamLoad load = readLoad(unpacker);
+    int countsSize = unpacker.unpackArrayHeader();
+    List<RouteCounts> counts = new ArrayList<>(countsSize);
+    for (int i = 0; i < countsSize; i++) {
+      RouteName route = new RouteName(unpacker.unpackString());
+      long calls = unpacker.unpackLong();
+      counts.add(new RouteCounts(route, calls, unpacker.unpackLong(), unpacker.unpackDouble()));
+    }
+    int movesSize = unpacker.unpackArrayHeader();
+    List<MoveShare> moves = new ArrayList<>(movesSize);
+    for (int i = 0; i < movesSize; i++) {
+      ServiceName service = new ServiceName(unpacker.unpackString());
+      VersionName to = new VersionName(unpacker.unpackString());
+      long order = unpacker.unpackLong();
+      long step = unpacker.unpackLong();
+      int permille = unpacker.unpackInt();
+      long elapsed = unpacker.unpackLong();
+      MoveOrder.State state = MoveOrder.State.values()[unpacker.unpackInt()];
+      moves.add(new MoveShare(service, to, order, step, permille, elapsed, state));
+    }
+    return new NodeReport(
+        version, ordersVersion, leaving, storeReachable, record, load, counts, moves);
+  }
+
+  static void writeLoad(MessageBufferPacker packer, UpstreamLoad load) throws IOException {
+    packer.packInt(load.running()).packInt(load.queued()).packInt(load.limit());
+    packer.packDouble(load.serviceMillis());
+  }
+
+  static UpstreamLoad readLoad(MessageUnpacker unpacker) throws IOException {
+    int running = unpacker.unpackInt();
+    int queued = unpacker.unpackInt();
+    return new UpstreamLoad(running, queued, unpacker.unpackInt(), unpacker.unpackDouble());
+  }
+
+  private static void writeRecord(MessageBufferPacker packer, UpstreamRecord record)
+      throws IOException {
+    packer.packString(record.id().value()).packLong(record.startedMillis());
+    packer.packString(record.service().value()).packString(record.version().value());
+    packer.packString(record.domain().value()).packString(record.address());
+    packer.packInt(record.slots()).packBoolean(record.draining());
+    packer.packLong(record.coldMillis()).packLong(record.sequence());
+  }
+
+  private static UpstreamRecord readRecord(MessageUnpacker unpacker) throws IOException {
+    UpstreamId id = new UpstreamId(unpacker.unpackString());
+    long startedMillis = unpacker.unpackLong();
+    ServiceName service = new ServiceName(unpacker.unpackString());
+    VersionName version = new VersionName(unpacker.unpackString());
+    FailureDomain domain = new FailureDomain(unpacker.unpackString());
+    String address = unpacker.unpackString();
+    int slots = unpacker.unpackInt();
+    boolean draining = unpacker.unpackBoolean();
+    long coldMillis = unpacker.unpackLong();
+    return new UpstreamRecord(
+        id,
+        startedMillis,
+        service,
+        version,
+        domain,
+        address,
+        slots,
+        draining,
+        coldMillis,
+        unpacker.unpackLong());
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/UpstreamLoad.java
@@ -0,0 +1,14 @@
+package io.hemlockbend.proxy.peer;
+
+/**
+ * How loaded an upstream is, as the node beside it sees it.
+ *
+ * @param running how many requests it runs
+ * @param queued how many wait beside it
+ * @param limit how many it may run at once now; 0 when it takes no work
+ * @param serviceMillis how long a request usually takes, in milliseconds; 0 when not known
+ */
+public record UpstreamLoad(int running, int queued, int limit, double serviceMillis) {
+  /** The load of an upstream that takes no work. */
+  public static final UpstreamLoad CLOSED = new UpstreamLoad(0, 0, 0, 0);
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/AdmissionRequests.java
@@ -0,0 +1,43 @@
+package io.hemlockbend.proxy.upstream;
+
+import io.hemlockbend.core.admission.AdmissionRequest;
+import io.hemlockbend.core.api.Priority;
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.quarantine.Standing;
+import io.hemlockbend.proxy.http.FieldNames;
+import io.hemlockbend.proxy.http.HttpRequest;
+import io.hemlockbend.proxy.peer.RunRequest;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpField;
+
+/** Makes of a request what admission decides on and what goes to the upstream. */
+final class AdmissionRequests {
+  private static final RequestId NO_ID = new RequestId("none");
+
+  private AdmissionRequests() {}
+
+  static AdmissionRequest of(RunRequest run, long deadlineMillis) {
+    return new AdmissionRequest(
+        NO_ID,
+        new RouteName(run.route()),
+        run.version(),
+        priority(run.priority()),
+        deadlineMillis,
+        Standing.CLEAR);
+  }
+
+  static HttpRequest toUpstream(RunRequest run, FieldNames names, long leftMillis) {
+    List<HttpField> fields = new ArrayList<>(run.http().fields().size() + 2);
+    fields.addAll(run.http().fields());
+    fields.add(new HttpField(names.deadline(), Long.toString(Math.max(1, leftMillis))));
+    fields.add(new HttpField(names.expectedUpstream(), run.upstream().value()));
+    return new HttpRequest(run.http().method(), run.http().target(), fields, run.http().body());
+  }
+
+  private static Priority priority(int rank) {
+    Priority[] all = Priority.values();
+    return all[Math.clamp(rank, 0, all.length - 1)];
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -0,0 +1,248 @@
+package io.hemlockbend.proxy.upstream;
+
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.traffic.ColdRate;
+import io.hemlockbend.core.traffic.TrafficService;
+import io.hemlockbend.core.traffic.UpstreamRecord;
+import io.hemlockbend.proxy.DecisionSink;
+import io.hemlockbend.proxy.http.FieldNames;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.RouteCounts;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.RunRequest;
+import io.hemlockbend.proxy.peer.UpstreamLoad;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+
+/**
+ * The upstream beside this node: knows who it is and whether it takes work, from what it announces,
+ * its health checks and the ends of its requests.
+ */
+public final class LocalUpstream {
+  private static final long PROBE_MILLIS = 250;
+  private static final int LOST_TO_DOWN = 3;
+
+  private final EventLoop loop;
+  private final UpstreamPool pool;
+  private final UpstreamRuns runs;
+  private final HealthProbe probe;
+  private final String address;
+  private final DecisionSink sink;
+  private final Runnable changed;
+  private final ColdRate coldRate = new ColdRate(Double.MAX_VALUE);
+  private UpstreamRecord record;
+  private UpstreamState state = UpstreamState.UNKNOWN;
+  private String healthPath = "/health";
+  private int lostInRow;
+  private boolean withdrawn;
+
+  /**
+   * Makes the upstream of a node; it is unknown until it announces itself.
+   *
+   * @param loop the event loop
+   * @param address the upstream's address
+   * @param names the header fields with a meaning
+   * @param sink takes note of decisions
+   * @param changed hears that the upstream's record or state changed
+   */
+  public LocalUpstream(
+      EventLoop loop,
+      InetSocketAddress address,
+      FieldNames names,
+      DecisionSink sink,
+      Runnable changed) {
+    this.loop = loop;
+    this.sink = sink;
+    this.changed = changed;
+    this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
+    this.pool = new UpstreamPool(loop, address, names.requestId());
+    this.probe = new HealthProbe(pool, names);
+    this.runs = new UpstreamRuns(loop, pool, names, coldRate, new RunObserver());
+  }
+
+  /**
+   * Takes in what the upstream says of itself.
+   *
+   * @return whether it was taken in; an older record or one of another address is not
+   */
+  public boolean announced(UpstreamRecord news) {
+    if (!news.address().equals(address) || record != null && !news.newerThan(record)) {
+      return false;
+    }
+    boolean sameProcess =
+        record != null
+            && record.id().equals(news.id())
+            && record.startedMillis() == news.startedMillis();
+    if (!sameProcess) {
+      begin(news);
+    }
+    record = news;
+    if (state == UpstreamState.LEAVING) {
+      return true;
+    }
+    coldRate.coldFor(news.coldMillis(), loop.millis());
+    if (news.draining()) {
+      leave("draining");
+    }
+    if (!sameProcess || news.draining()) {
+      changed.run();
+    }
+    return true;
+  }
+
+  /** Takes in that the upstream ends; it gets no more work, whatever it says later. */
+  public void left(UpstreamId id) {
+    if (record != null && record.id().equals(id) && state != UpstreamState.LEAVING) {
+      leave("deregistered");
+      changed.run();
+    }
+  }
+
+  /** Takes in what the configuration says of its service. */
+  public void service(TrafficService service) {
+    healthPath = service.healthPath();
+    coldRate.perSecond(service.coldPerSecond());
+  }
+
+  /** Takes in whether its failure domain is withdrawn; a restored one is checked before use. */
+  public void withdrawn(boolean isWithdrawn) {
+    if (withdrawn == isWithdrawn) {
+      return;
+    }
+    withdrawn = isWithdrawn;
+    if (withdrawn) {
+      runs.dropAll("domain-withdrawn");
+    } else {
+      suspect("restored");
+    }
+    changed.run();
+  }
+
+  /** Returns what the upstream says of itself, or null. */
+  public UpstreamRecord record() {
+    return record;
+  }
+
+  /** Returns whether it takes work. */
+  public UpstreamState state() {
+    return state;
+  }
+
+  /** Returns how many requests it runs. */
+  public int running() {
+    return runs.running();
+  }
+
+  /** Returns how loaded it is. */
+  public UpstreamLoad load() {
+    return state == UpstreamState.UP && !withdrawn ? runs.load() : UpstreamLoad.CLOSED;
+  }
+
+  /** Returns what it did on each route since its record began. */
+  public List<RouteCounts> counts() {
+    return runs.counts();
+  }
+
+  /** Returns how many connections to it were opened. */
+  public long connectionsOpened() {
+    return pool.opened();
+  }
+
+  /**
+   * Runs a request.
+   *
+   * @param run the request
+   * @param listener hears once how it ended, maybe before this returns
+   * @return takes the request back when its caller leaves
+   */
+  public Runnable run(RunRequest run, Consumer<RunEnd> listener) {
+    if (state == UpstreamState.UP && !withdrawn) {
+      return runs.run(run, listener);
+    }
+    String reason =
+        withdrawn ? "domain-withdrawn" : "upstream-" + state.name().toLowerCase(Locale.ROOT);
+    listener.accept(new RunEnd.NotRun(reason));
+    return () -> {};
+  }
+
+  private void begin(UpstreamRecord news) {
+    runs.begin(news);
+    state = UpstreamState.UP;
+    lostInRow = 0;
+    sink.decided(
+        "upstream-began",
+        null,
+        "upstream",
+        news.id(),
+        "version",
+        news.version(),
+        "coldMillis",
+        news.coldMillis(),
+        "slots",
+        news.slots());
+  }
+
+  private void leave(String why) {
+    state = UpstreamState.LEAVING;
+    runs.dropAll("upstream-leaving");
+    sink.decided("upstream-leaves", null, "upstream", record.id(), "why", why);
+  }
+
+  /** Sends nothing until the upstream has answered a health check. */
+  private void suspect(String why) {
+    if (state != UpstreamState.UP) {
+      return;
+    }
+    state = UpstreamState.DOWN;
+    runs.dropAll("upstream-down");
+    sink.decided("upstream-down", null, "upstream", record.id(), "why", why);
+    changed.run();
+    probeHealth();
+  }
+
+  private void probeHealth() {
+    if (state == UpstreamState.DOWN) {
+      probe.ask(healthPath, address, this::probed);
+      loop.after(PROBE_MILLIS, this::probeHealth);
+    }
+  }
+
+  private void probed(HealthProbe.Health health) {
+    boolean same = health.upstreamId() == null || health.upstreamId().equals(record.id().value());
+    if (state != UpstreamState.DOWN || !health.healthy() || !same) {
+      return;
+    }
+    coldRate.coldFor(Math.max(0, health.coldMillis()), loop.millis());
+    state = UpstreamState.UP;
+    lostInRow = 0;
+    sink.decided("upstream-up", null, "upstream", record.id(), "coldMillis", health.coldMillis());
+    changed.run();
+  }
+
+  private final class RunObserver implements UpstreamRuns.Observer {
+    @Override
+    public void answered() {
+      lostInRow = 0;
+    }
+
+    @Override
+    public void misdirected() {
+      suspect("misdirected");
+    }
+
+    @Override
+    public void unreachable(String reason) {
+      suspect(reason);
+    }
+
+    @Override
+    public void brokeOff(String reason) {
+      lostInRow++;
+      if (lostInRow >= LOST_TO_DOWN) {
+        suspect(reason);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/RunningCall.java
@@ -0,0 +1,47 @@
+package io.hemlockbend.proxy.upstream;
+
+import io.hemlockbend.core.admission.AdmissionController;
+import io.hemlockbend.core.admission.AdmissionRequest;
+import io.hemlockbend.core.admission.Permit;
+import io.hemlockbend.core.admission.Ticket;
+import io.hemlockbend.proxy.loop.Timer;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.RunRequest;
+import java.util.function.Consumer;
+
+/** A request at the node beside its upstream, from its arrival to its end. */
+final class RunningCall {
+  final RunRequest run;
+  final AdmissionRequest admission;
+  final Consumer<RunEnd> listener;
+  final AdmissionController controller;
+  Ticket ticket;
+  Permit permit;
+  UpstreamPool.Call call;
+  Timer deadline;
+  long sentMillis;
+  boolean over;
+
+  RunningCall(
+      RunRequest run,
+      AdmissionRequest admission,
+      AdmissionController controller,
+      Consumer<RunEnd> listener) {
+    this.run = run;
+    this.admission = admission;
+    this.listener = listener;
+    this.controller = controller;
+  }
+
+  /** Tells the listener how it ended, the first time only. */
+  void end(RunEnd end) {
+    if (over) {
+      return;
+    }
+    over = true;
+    if (deadline != null) {
+      deadline.cancel();
+    }
+    listener.accept(end);
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/UpstreamPoolTest.java
@@ -0,0 +1,185 @@
+package io.hemlockbend.proxy.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.proxy.RawServer;
+import io.hemlockbend.proxy.http.HttpReply;
+import io.hemlockbend.proxy.http.HttpRequest;
+import io.hemlockbend.proxy.loop.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpField;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamPoolTest {
+  private static final int WAIT_SECONDS = 10;
+
+  private final EventLoop loop = new EventLoop();
+
+  @BeforeEach
+  void start() {
+    loop.start();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.close();
+  }
+
+  @Test
+  void reusesConnectionAfterWholeAnswer() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              for (String id = RawServer.readRequestId(socket);
+                  id != null;
+                  id = RawServer.readRequestId(socket)) {
+                RawServer.write(socket, answer(id, "whole-" + id));
+              }
+            })) {
+      UpstreamPool pool = pool(server.address());
+      assertThat(call(pool, "1")).isEqualTo("200 whole-1");
+      assertThat(call(pool, "2")).isEqualTo("200 whole-2");
+      assertThat(server.accepted()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void dropsAnswerToAnotherRequest() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              String id = RawServer.readRequestId(socket);
+              RawServer.write(socket, answer("earlier", "wrong") + answer(id, "right"));
+              RawServer.readRequestId(socket);
+            })) {
+      assertThat(call(pool(server.address()), "1")).isEqualTo("200 right");
+    }
+  }
+
+  @Test
+  void givesNoSecondRequestToConnectionThatSentMoreThanOneAnswer() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              String id = RawServer.readRequestId(socket);
+              RawServer.write(socket, answer(id, "one") + answer(id, "two"));
+              RawServer.readRequestId(socket);
+            })) {
+      UpstreamPool pool = pool(server.address());
+      assertThat(call(pool, "1")).isEqualTo("200 one");
+      assertThat(call(pool, "2")).isEqualTo("200 one");
+      assertThat(server.accepted()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void truncatedAnswerIsLost() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              String id = RawServer.readRequestId(socket);
+              RawServer.write(
+                  socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 9\r\n\r\nfour");
+            })) {
+      assertThat(call(pool(server.address()), "1")).startsWith("lost answer broke off");
+    }
+  }
+
+  @Test
+  void bytesThatAreNoAnswerAreLost() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readRequestId(socket);
+              RawServer.write(socket, "\u0001\u0002 nonsense\r\n\r\n");
+            })) {
+      assertThat(call(pool(server.address()), "1")).startsWith("lost");
+    }
+  }
+
+  @Test
+  void answerWithoutLengthEndsWithItsConnection() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              String id = RawServer.readRequestId(socket);
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nto the end");
+            })) {
+      assertThat(call(pool(server.address()), "1")).isEqualTo("200 to the end");
+    }
+  }
+
+  @Test
+  void requestIsNotSentWhenNobodyListens() throws Exception {
+    RawServer server = new RawServer(socket -> {});
+    server.close();
+    assertThat(call(pool(server.address()), "1")).startsWith("not sent");
+  }
+
+  @Test
+  void cancelledCallEndsItsConnection() throws Exception {
+    CompletableFuture<String> ended = new CompletableFuture<>();
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readRequestId(socket);
+              ended.complete(String.valueOf(RawServer.readRequestId(socket)));
+            })) {
+      UpstreamPool pool = pool(server.address());
+      loop.execute(
+          () -> {
+            UpstreamPool.Call call =
+                pool.call(request("1"), Long.MAX_VALUE, new Outcome(new CompletableFuture<>()));
+            loop.after(100, call::cancel);
+          });
+      assertThat(ended.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("null");
+    }
+  }
+
+  private UpstreamPool pool(InetSocketAddress address) {
+    return new UpstreamPool(loop, address, "Id");
+  }
+
+  private String call(UpstreamPool pool, String id) throws Exception {
+    CompletableFuture<String> result = new CompletableFuture<>();
+    loop.execute(() -> pool.call(request(id), Long.MAX_VALUE, new Outcome(result)));
+    return result.get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private static HttpRequest request(String id) {
+    List<HttpField> fields = List.of(new HttpField("Host", "up"), new HttpField("Id", id));
+    return new HttpRequest("GET", "/", fields, new byte[0]);
+  }
+
+  private static String answer(String id, String body) {
+    return "HTTP/1.1 200 OK\r\nId: "
+        + id
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private record Outcome(CompletableFuture<String> result) implements UpstreamPool.Listener {
+    @Override
+    public void answered(HttpReply reply) {
+      result.complete(reply.status() + " " + new String(reply.body(), StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void notSent(String reason) {
+      result.complete("not sent " + reason);
+    }
+
+    @Override
+    public void lost(String reason) {
+      result.complete("lost " + reason);
+    }
+  }
+}
