--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -0,0 +1,198 @@
+package io.hemlockbend.proxy.mesh;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.traffic.CallerLimits;
+import io.hemlockbend.core.traffic.RepeatKind;
+import io.hemlockbend.core.traffic.TrafficConfiguration;
+import io.hemlockbend.core.traffic.TrafficRoute;
+import io.hemlockbend.core.traffic.TrafficService;
+import io.hemlockbend.core.traffic.UpstreamRecord;
+import io.hemlockbend.core.traffic.WeightedService;
+import io.hemlockbend.proxy.DecisionSink;
+import io.hemlockbend.proxy.RawServer;
+import io.hemlockbend.proxy.http.FieldNames;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.NodeInfo;
+import io.hemlockbend.proxy.peer.OperatorOrders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Nodes in one process, each with an upstream of a script beside it. */
+final class MeshFixture implements AutoCloseable {
+  static final ServiceName SERVICE = new ServiceName("quotes");
+  static final VersionName V1 = new VersionName("v1");
+  static final FieldNames NAMES =
+      new FieldNames("Id", "Deadline", "Seal", "Expected", "Not-Run", "Caller", "Up", "Cold");
+  private static final int WAIT_SECONDS = 10;
+
+  /** A node and its upstream. */
+  final class Member {
+    final EventLoop loop = new EventLoop();
+    final RawServer upstream;
+    final MeshNode node;
+    final InetSocketAddress callers = freeAddress();
+    final UpstreamId id;
+    private final AtomicLong sequence = new AtomicLong();
+
+    Member(int number, String domain, RawServer.Script script) {
+      upstream = new RawServer(script);
+      id = new UpstreamId("i-" + number);
+      InetSocketAddress peers = freeAddress();
+      NodeInfo self =
+          new NodeInfo(
+              new NodeId("n" + number),
+              "127.0.0.1",
+              peers.getPort(),
+              new FailureDomain(domain),
+              number);
+      MeshSettings settings =
+          new MeshSettings(
+              self,
+              SERVICE,
+              callers,
+              upstream.address(),
+              NAMES,
+              new EntrySettings(0.2, 60, 10_000),
+              6_000);
+      node =
+          new MeshNode(
+              loop,
+              settings,
+              bytes -> configuration(bytes[0]),
+              (move, done) -> done.accept(true),
+              DecisionSink.NONE);
+      loop.start();
+      on(
+          () -> {
+            node.listen();
+            node.takeConfiguration(new byte[] {1});
+            node.membersKnown();
+          });
+    }
+
+    void on(Runnable task) {
+      CompletableFuture<Void> done = new CompletableFuture<>();
+      loop.execute(
+          () -> {
+            task.run();
+            done.complete(null);
+          });
+      done.orTimeout(WAIT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    <T> T ask(java.util.function.Supplier<T> question) {
+      return CompletableFuture.supplyAsync(question, loop::execute)
+          .orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
+          .join();
+    }
+
+    void announce(boolean draining, long coldMillis) {
+      InetSocketAddress at = upstream.address();
+      UpstreamRecord record =
+          new UpstreamRecord(
+              id,
+              1,
+              SERVICE,
+              V1,
+              node.mesh().self().domain(),
+              at.getAddress().getHostAddress() + ":" + at.getPort(),
+              4,
+              draining,
+              coldMillis,
+              sequence.incrementAndGet());
+      on(() -> node.upstream().announced(record));
+    }
+
+    void orders(long version, Set<FailureDomain> withdrawn) {
+      on(() -> node.takeOrders(new OperatorOrders(version, withdrawn, List.of())));
+    }
+  }
+
+  final List<Member> members = new ArrayList<>();
+  final ConcurrentLinkedQueue<String> ran = new ConcurrentLinkedQueue<>();
+
+  /** Adds a node whose upstream answers every request at once. */
+  Member add(String domain) {
+    int number = members.size() + 1;
+    return add(domain, socket -> answerAll(socket, "n" + number));
+  }
+
+  Member add(String domain, RawServer.Script script) {
+    Member member = new Member(members.size() + 1, domain, script);
+    members.add(member);
+    for (Member other : members) {
+      member.on(() -> member.node.mesh().learn(other.node.mesh().self()));
+    }
+    return member;
+  }
+
+  void answerAll(Socket socket, String name) throws IOException {
+    for (String id = RawServer.readRequestId(socket);
+        id != null;
+        id = RawServer.readRequestId(socket)) {
+      ran.add(id + "@" + name);
+      RawServer.write(
+          socket,
+          "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 2\r\n\r\n" + name);
+    }
+  }
+
+  /** Sends a request to a node and returns the status line and the body. */
+  static String get(Member member, String path, String id) throws IOException {
+    try (Socket socket = new Socket(member.callers.getAddress(), member.callers.getPort())) {
+      socket.setSoTimeout(WAIT_SECONDS * 1_000);
+      RawServer.write(
+          socket,
+          "GET "
+              + path
+              + " HTTP/1.1\r\nHost: shop\r\nId: "
+              + id
+              + "\r\nDeadline: 2000\r\nConnection: close\r\n\r\n");
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Member member : members) {
+      member.loop.close();
+      member.upstream.close();
+    }
+  }
+
+  private static TrafficConfiguration configuration(long version) {
+    List<WeightedService> services = List.of(new WeightedService(SERVICE, 1));
+    return new TrafficConfiguration(
+        version,
+        List.of(
+            new TrafficRoute(
+                "r1", "shop", "/a/", RepeatKind.IDEMPOTENT, 1_500, 200, 1, 2, services),
+            new TrafficRoute(
+                "r2", "shop", "/once/", RepeatKind.AT_MOST_ONCE, 1_500, 200, 1, 2, services)),
+        List.of(new TrafficService(SERVICE, "/health", 100, 3_000, 32)),
+        CallerLimits.DEFAULT);
+  }
+
+  private static InetSocketAddress freeAddress() {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -0,0 +1,167 @@
+package io.hemlockbend.proxy.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.proxy.RawServer;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class MeshNodeTest {
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
+  private final MeshFixture mesh = new MeshFixture();
+
+  @AfterEach
+  void close() throws Exception {
+    mesh.close();
+  }
+
+  @Test
+  void servesRequestsByTheUpstreamOfAnotherNode() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second = mesh.add("sfax");
+    second.announce(false, 0);
+    awaitSeen(first, second);
+    assertThat(MeshFixture.get(first, "/a/x", "q1")).startsWith("HTTP/1.1 200").endsWith("n2");
+    assertThat(mesh.ran).containsExactly("q1@n2");
+  }
+
+  @Test
+  void answers404WithoutRouteAnd503WithoutUpstream() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    assertThat(MeshFixture.get(first, "/nothing/", "q1")).startsWith("HTTP/1.1 404");
+    assertThat(MeshFixture.get(first, "/a/", "q2"))
+        .startsWith("HTTP/1.1 503")
+        .contains("Retry-After: 0.");
+  }
+
+  @Test
+  void sendsNothingToDrainingUpstream() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.announce(false, 0);
+    assertThat(MeshFixture.get(first, "/a/", "q1")).startsWith("HTTP/1.1 200");
+    first.announce(true, 0);
+    assertThat(MeshFixture.get(first, "/a/", "q2")).startsWith("HTTP/1.1 503");
+    assertThat(mesh.ran).containsExactly("q1@n1");
+  }
+
+  @Test
+  void sendsNothingToWithdrawnDomainAndChecksRestoredUpstreamFirst() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.announce(false, 0);
+    first.orders(1, Set.of(new FailureDomain("tunis")));
+    assertThat(MeshFixture.get(first, "/a/", "q1")).startsWith("HTTP/1.1 503");
+    first.orders(2, Set.of());
+    await()
+        .atMost(WAIT)
+        .untilAsserted(
+            () -> assertThat(MeshFixture.get(first, "/a/", "q2")).startsWith("HTTP/1.1 200"));
+    assertThat(mesh.ran).first().isEqualTo("@n1");
+  }
+
+  @Test
+  void runsIdempotentRequestAgainElsewhereAndOthersOnceOnly() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis", this::breakOff);
+    MeshFixture.Member second = mesh.add("tunis");
+    first.announce(false, 0);
+    second.announce(false, 0);
+    awaitSeen(first, second);
+    for (int i = 0; i < 6; i++) {
+      String answer = MeshFixture.get(second, "/once/", "once" + i);
+      assertThat(answer)
+          .satisfiesAnyOf(
+              text -> assertThat(text).startsWith("HTTP/1.1 200"),
+              text -> assertThat(text).startsWith("HTTP/1.1 502"));
+    }
+    long runs = mesh.ran.stream().filter(run -> run.startsWith("once")).distinct().count();
+    assertThat(mesh.ran.stream().map(run -> run.split("@")[0]).filter(id -> id.startsWith("once")))
+        .hasSize((int) runs)
+        .doesNotHaveDuplicates();
+    assertThat(MeshFixture.get(second, "/a/", "again")).startsWith("HTTP/1.1 200");
+  }
+
+  @Test
+  void cancelsTheRunOfCallerThatLeft() throws Exception {
+    AtomicBoolean cancelled = new AtomicBoolean();
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second =
+        mesh.add(
+            "tunis",
+            socket -> {
+              mesh.ran.add(RawServer.readRequestId(socket));
+              cancelled.set(RawServer.readRequestId(socket) == null);
+            });
+    second.announce(false, 0);
+    awaitSeen(first, second);
+    try (Socket caller = new Socket(first.callers.getAddress(), first.callers.getPort())) {
+      RawServer.write(caller, "GET /a/ HTTP/1.1\r\nHost: shop\r\nId: gone\r\n\r\n");
+      await().atMost(WAIT).until(() -> mesh.ran.contains("gone"));
+    }
+    await().atMost(Duration.ofMillis(500)).untilTrue(cancelled);
+  }
+
+  @Test
+  void coldUpstreamGetsNoMoreThanItBears() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.announce(false, 3_000);
+    for (int i = 0; i < 60; i++) {
+      MeshFixture.get(first, "/a/", "q" + i);
+    }
+    assertThat(mesh.ran.size()).isBetween(20, 32);
+  }
+
+  @Test
+  void nodeThatIsBehindFetchesWhatAnotherOneHas() {
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second = mesh.add("sfax");
+    second.on(() -> second.node.takeConfiguration(new byte[] {9}));
+    second.orders(5, Set.of(new FailureDomain("sfax")));
+    await().atMost(WAIT).until(() -> first.ask(() -> first.node.configuration().version()) == 9L);
+    await().atMost(WAIT).until(() -> first.ask(() -> first.node.orders().version()) == 5L);
+  }
+
+  @Test
+  void neverGoesBackToAnOlderConfiguration() {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.on(() -> first.node.takeConfiguration(new byte[] {5}));
+    first.on(() -> first.node.takeConfiguration(new byte[] {3}));
+    assertThat(first.ask(() -> first.node.configuration().version())).isEqualTo(5L);
+  }
+
+  @Test
+  void leavingNodeIsNotReadyAndStillServes() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.announce(false, 0);
+    AtomicBoolean stopped = new AtomicBoolean();
+    first.on(() -> first.node.stop(() -> stopped.set(true)));
+    assertThat(first.ask(first.node::ready)).isFalse();
+    assertThat(MeshFixture.get(first, "/a/", "q1")).startsWith("HTTP/1.1 200");
+    await().atMost(WAIT).untilTrue(stopped);
+  }
+
+  private void breakOff(Socket socket) throws java.io.IOException {
+    mesh.ran.add(RawServer.readRequestId(socket) + "@broken");
+  }
+
+  private static void awaitSeen(MeshFixture.Member entry, MeshFixture.Member other) {
+    await()
+        .atMost(WAIT)
+        .until(
+            () ->
+                entry.ask(
+                    () ->
+                        entry.node.mesh().peers().stream()
+                            .anyMatch(
+                                peer ->
+                                    peer.info.node().equals(other.node.mesh().self().node())
+                                        && peer.report != null
+                                        && peer.report.upstream() != null
+                                        && entry.node.mesh().alive(peer))));
+  }
+}
