Stay in the own failure domain while it has room; offer late requests last; know the upstream after a restart

An entry now stays in its own domain while an upstream there is at most three quarters full. - under load requests waited until their deadline behind others that could still have been in time. Admission now takes a request only while it can be answered within its target; what no upstream takes so is offered once more as late, behind all others. - after a loss of power a node waited for the next announcement of its upstream. It now reads what it kept and asks for the upstream's health.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
@@ -9,10 +9,16 @@
  * @param running how many requests it runs or holds, with this entry's own up to now
  * @param limit how many it may run at once; more than 0
  * @param serviceMillis how long a request usually takes there; 0 when not known
+ * @param near whether it is in the entry's own failure domain
  * @param crossingMillis how long the way there and back takes
  */
 public record PlacedUpstream(
-    NodeId node, double running, int limit, double serviceMillis, double crossingMillis) {
+    NodeId node,
+    double running,
+    int limit,
+    double serviceMillis,
+    boolean near,
+    double crossingMillis) {
   private static final double UNKNOWN_SERVICE_MILLIS = 50;
 
   /** Returns roughly how long a request would take there. */
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
@@ -1,14 +1,20 @@
 package io.hemlockbend.core.placement;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the less loaded of two upstreams drawn at random. Entries see loads with a delay; two
- * choices keep them from all rushing to the one that was least loaded a moment ago.
+ * Chooses an upstream: one in the entry's own failure domain while any there has room, so that
+ * bodies do not cross between domains without need; else the less loaded of two drawn at random.
+ * Entries see loads with a delay; two choices keep them from all rushing to the one that was least
+ * loaded a moment ago.
  */
 public final class UpstreamChooser {
+  /** How full an upstream of the own domain may be to be chosen before others. */
+  public static final double NEAR_FILL = 0.75;
+
   private final RandomGenerator random;
 
   /** Makes a chooser that draws from a generator. */
@@ -18,6 +24,16 @@
 
   /** Returns the upstream for a request, or empty when there is none. */
   public Optional<PlacedUpstream> choose(List<PlacedUpstream> upstreams) {
+    List<PlacedUpstream> near = new ArrayList<>(upstreams.size());
+    for (PlacedUpstream upstream : upstreams) {
+      if (upstream.near() && upstream.running() + 1 <= NEAR_FILL * upstream.limit()) {
+        near.add(upstream);
+      }
+    }
+    return lessLoadedOfTwo(near.isEmpty() ? upstreams : near);
+  }
+
+  private Optional<PlacedUpstream> lessLoadedOfTwo(List<PlacedUpstream> upstreams) {
     if (upstreams.isEmpty()) {
       return Optional.empty();
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -257,7 +257,8 @@
     all.add(
         new Candidate(
             placed,
-            new PlacedUpstream(placed.node(), busy, load.limit(), load.serviceMillis(), crossing)));
+            new PlacedUpstream(
+                placed.node(), busy, load.limit(), load.serviceMillis(), near, crossing)));
   }
 
   private ServiceName turn(TrafficRoute route) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -13,10 +13,13 @@
 
 /** A caller's request at its entry, from its arrival to its answer. */
 final class EntryCall {
-  private static final int MAX_PLACEMENTS = 5;
+  private static final int MAX_PLACEMENTS = 4;
+  private static final long WAY_TO_CALLER_MILLIS = 20;
   private static final long FULL_RETRY_MILLIS = 60;
   private static final long NONE_RETRY_MILLIS = 150;
 
+  private static final String NONE = "no upstream";
+
   private final Entry entry;
   private final Exchange exchange;
   private final TrafficRoute route;
@@ -27,8 +30,10 @@
   private final Timer deadline;
   private HttpReply failure;
   private Runnable takeBack;
-  private String lastRefusal = "no upstream";
+  private String lastRefusal = NONE;
   private int placements;
+  private int sends;
+  private boolean late;
   private boolean over;
 
   EntryCall(
@@ -62,31 +67,39 @@
     return deadlineMillis - entry.loop().millis();
   }
 
+  /** Returns how long an answer still has its full value; 0 once the request is taken as late. */
   long targetLeftMillis() {
-    return exchange.receivedMillis() + route.targetMillis() - entry.loop().millis();
+    long target = exchange.receivedMillis() + route.targetMillis() - WAY_TO_CALLER_MILLIS;
+    return late ? 0 : Math.max(0, target - entry.loop().millis());
   }
 
   boolean excluded(NodeId node) {
     return refusedBy.contains(node) || ranOn.contains(node);
   }
 
-  /** Places the request on an upstream, or refuses it when there is none. */
+  /**
+   * Places the request on an upstream. When none can answer it in time for its full value, it is
+   * offered once more as late; when none takes it then, it is refused at once.
+   */
   void place() {
-    if (placements >= MAX_PLACEMENTS) {
-      refuse(lastRefusal, FULL_RETRY_MILLIS);
-      return;
+    Placed placed = placements < MAX_PLACEMENTS ? entry.choose(this) : null;
+    if (placed == null && placements > 0 && !late && remainingMillis() > 0) {
+      late = true;
+      placements = 0;
+      refusedBy.clear();
+      placed = entry.choose(this);
     }
-    Placed placed = entry.choose(this);
     if (placed == null) {
-      refuse(
-          placements == 0 ? "no upstream" : lastRefusal,
-          placements == 0 ? NONE_RETRY_MILLIS : FULL_RETRY_MILLIS);
+      refuse(lastRefusal, lastRefusal.equals(NONE) ? NONE_RETRY_MILLIS : FULL_RETRY_MILLIS);
       return;
     }
     placements++;
+    sends++;
+    int send = sends;
     NodeId node = placed.node();
     Runnable back = entry.run(this, placed, end -> ended(node, end));
-    if (!over) {
+    boolean ended = over || send != sends;
+    if (!ended) {
       takeBack = back;
     }
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -58,21 +58,27 @@
    * @param loop the event loop
    * @param settings what it needs to know
    * @param decoder makes a configuration of its document
-   * @param outcomes keeps how moves end, on behalf of the node that leads them
+   * @param durable keeps what must outlive the node
    * @param sink takes note of decisions
    */
   public MeshNode(
       EventLoop loop,
       MeshSettings settings,
       Function<byte[], TrafficConfiguration> decoder,
-      MoveLeader.Outcomes outcomes,
+      DurableState durable,
       DecisionSink sink) {
     this.loop = loop;
     this.settings = settings;
     this.decoder = decoder;
     this.sink = sink;
     this.upstream =
-        new LocalUpstream(loop, settings.upstream(), settings.names(), sink, this::announceSoon);
+        new LocalUpstream(
+            loop,
+            settings.upstream(),
+            settings.names(),
+            sink,
+            this::announceSoon,
+            durable::keepUpstream);
     this.mesh = new PeerMesh(loop, settings.self(), this, sink);
     this.entry =
         new Entry(
@@ -84,7 +90,7 @@
             versions,
             settings.entry(),
             sink);
-    this.moves = new MoveLeader(loop, mesh, this, versions, outcomes, sink);
+    this.moves = new MoveLeader(loop, mesh, this, versions, durable, sink);
   }
 
   /** Opens the listeners for callers and for other nodes. */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -12,7 +12,6 @@
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /**
  * Leads moves of traffic while this node is the first by name of those that reach the store. It
@@ -24,22 +23,11 @@
   private static final long QUIET_MILLIS = 1_000;
   private static final long MAX_DRAIN_MILLIS = 2_500;
 
-  /** Keeps how far moves are, where the operator sees it. */
-  public interface Outcomes {
-    /**
-     * Keeps how far a move is, unless another node has kept a later state.
-     *
-     * @param move the move in its new state
-     * @param done hears whether it was kept
-     */
-    void keep(MoveOrder move, Consumer<Boolean> done);
-  }
-
   private final EventLoop loop;
   private final PeerMesh mesh;
   private final MeshNode node;
   private final ServiceVersions versions;
-  private final Outcomes outcomes;
+  private final DurableState durable;
   private final DecisionSink sink;
   private final Map<ServiceName, LedMove> led = new HashMap<>();
   private final Map<ServiceName, Long> seenMillis = new HashMap<>();
@@ -50,13 +38,13 @@
       PeerMesh mesh,
       MeshNode node,
       ServiceVersions versions,
-      Outcomes outcomes,
+      DurableState durable,
       DecisionSink sink) {
     this.loop = loop;
     this.mesh = mesh;
     this.node = node;
     this.versions = versions;
-    this.outcomes = outcomes;
+    this.durable = durable;
     this.sink = sink;
     loop.every(TICK_MILLIS, this::tick);
   }
@@ -106,7 +94,7 @@
     }
     if (!move.announced) {
       move.announced = true;
-      outcomes.keep(order, kept -> {});
+      durable.keepMove(order, kept -> {});
     }
     gather(move);
     long nowMillis = loop.millis();
@@ -190,7 +178,7 @@
       return;
     }
     move.keeping = true;
-    outcomes.keep(
+    durable.keepMove(
         move.order.in(state),
         kept -> {
           move.keeping = false;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
@@ -13,8 +13,8 @@
  * @param upstream the upstream that it is for
  * @param priority the route's rank, 0 the most urgent
  * @param idempotent whether it may run more than once
- * @param targetMillis the time within which an answer has its full value, from now on; may be
- *     negative
+ * @param targetMillis the time within which an answer has its full value, from now on; 0 when the
+ *     request is late already and runs only where nothing else waits
  * @param remainingMillis how long its caller waits from now on
  * @param http the request as it goes to the upstream, but for what depends on the time
  */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/AdmissionRequests.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/AdmissionRequests.java
@@ -18,13 +18,19 @@
 
   private AdmissionRequests() {}
 
-  static AdmissionRequest of(RunRequest run, long deadlineMillis) {
+  /**
+   * Makes the admission of a request. One that can still be answered in time to have its full value
+   * waits until then at most; one that is late runs when nothing else waits.
+   */
+  static AdmissionRequest of(RunRequest run, long nowMillis) {
+    boolean late = run.targetMillis() <= 0;
+    long waitMillis = late ? run.remainingMillis() : run.targetMillis();
     return new AdmissionRequest(
         NO_ID,
         new RouteName(run.route()),
         run.version(),
-        priority(run.priority()),
-        deadlineMillis,
+        late ? Priority.BULK : priority(run.priority()),
+        nowMillis + Math.min(waitMillis, run.remainingMillis()),
         Standing.CLEAR);
   }
 
@@ -37,7 +43,6 @@
   }
 
   private static Priority priority(int rank) {
-    Priority[] all = Priority.values();
-    return all[Math.clamp(rank, 0, all.length - 1)];
+    return rank <= 0 ? Priority.URGENT : Priority.NORMAL;
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -21,7 +21,8 @@
  * its health checks and the ends of its requests.
  */
 public final class LocalUpstream {
-  private static final long PROBE_MILLIS = 250;
+  private static final long PROBE_MILLIS = 150;
+  private static final long MAX_PROBE_MILLIS = 1_000;
   private static final int LOST_TO_DOWN = 3;
 
   private final EventLoop loop;
@@ -31,11 +32,13 @@
   private final String address;
   private final DecisionSink sink;
   private final Runnable changed;
+  private final Consumer<UpstreamRecord> began;
   private final ColdRate coldRate = new ColdRate(Double.MAX_VALUE);
   private UpstreamRecord record;
   private UpstreamState state = UpstreamState.UNKNOWN;
   private String healthPath = "/health";
   private int lostInRow;
+  private int probes;
   private boolean withdrawn;
 
   /**
@@ -46,16 +49,19 @@
    * @param names the header fields with a meaning
    * @param sink takes note of decisions
    * @param changed hears that the upstream's record or state changed
+   * @param began hears that another process of the upstream announced itself
    */
   public LocalUpstream(
       EventLoop loop,
       InetSocketAddress address,
       FieldNames names,
       DecisionSink sink,
-      Runnable changed) {
+      Runnable changed,
+      Consumer<UpstreamRecord> began) {
     this.loop = loop;
     this.sink = sink;
     this.changed = changed;
+    this.began = began;
     this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
     this.pool = new UpstreamPool(loop, address, names.requestId());
     this.probe = new HealthProbe(pool, names);
@@ -77,6 +83,7 @@
             && record.startedMillis() == news.startedMillis();
     if (!sameProcess) {
       begin(news);
+      began.accept(news);
     }
     record = news;
     if (state == UpstreamState.LEAVING) {
@@ -92,6 +99,19 @@
     return true;
   }
 
+  /**
+   * Takes in what the upstream said before this node was restarted. It gets work once a health
+   * check shows that the same upstream is still there.
+   */
+  public void restore(UpstreamRecord kept) {
+    if (record != null || kept.draining() || !kept.address().equals(address)) {
+      return;
+    }
+    begin(kept);
+    record = kept;
+    suspect("node restarted");
+  }
+
   /** Takes in that the upstream ends; it gets no more work, whatever it says later. */
   public void left(UpstreamId id) {
     if (record != null && record.id().equals(id) && state != UpstreamState.LEAVING) {
@@ -196,6 +216,7 @@
       return;
     }
     state = UpstreamState.DOWN;
+    probes = 0;
     runs.dropAll("upstream-down");
     sink.decided("upstream-down", null, "upstream", record.id(), "why", why);
     changed.run();
@@ -204,8 +225,9 @@
 
   private void probeHealth() {
     if (state == UpstreamState.DOWN) {
+      probes++;
       probe.ask(healthPath, address, this::probed);
-      loop.after(PROBE_MILLIS, this::probeHealth);
+      loop.after(Math.min(MAX_PROBE_MILLIS, PROBE_MILLIS * probes), this::probeHealth);
     }
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/RunningCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/RunningCall.java
@@ -14,6 +14,7 @@
   final RunRequest run;
   final AdmissionRequest admission;
   final Consumer<RunEnd> listener;
+  final long deadlineMillis;
   final AdmissionController controller;
   Ticket ticket;
   Permit permit;
@@ -26,10 +27,12 @@
       RunRequest run,
       AdmissionRequest admission,
       AdmissionController controller,
-      Consumer<RunEnd> listener) {
+      Consumer<RunEnd> listener,
+      long arrivedMillis) {
     this.run = run;
     this.admission = admission;
     this.listener = listener;
+    this.deadlineMillis = arrivedMillis + run.remainingMillis();
     this.controller = controller;
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -120,14 +120,14 @@
       listener.accept(new RunEnd.NotRun("cold"));
       return () -> {};
     }
-    AdmissionRequest admission = AdmissionRequests.of(run, nowMillis + run.remainingMillis());
-    RunningCall call = new RunningCall(run, admission, controller, listener);
+    AdmissionRequest admission = AdmissionRequests.of(run, nowMillis);
+    RunningCall call = new RunningCall(run, admission, controller, listener, nowMillis);
     switch (controller.offer(admission, nowMillis)) {
       case AdmissionDecision.Admitted admitted -> start(call, admitted.permit());
       case AdmissionDecision.Queued waiting -> {
         call.ticket = waiting.ticket();
         queued.put(waiting.ticket(), call);
-        call.deadline = loop.after(run.remainingMillis(), this::expire);
+        call.deadline = loop.after(admission.deadlineMillis() - nowMillis, this::expire);
         waiting.shed().forEach(this::drop);
       }
       case AdmissionDecision.Refused refused ->
@@ -156,7 +156,7 @@
     }
     coldRate.sent(nowMillis);
     call.sentMillis = nowMillis;
-    long leftMillis = call.admission.deadlineMillis() - nowMillis;
+    long leftMillis = call.deadlineMillis - nowMillis;
     call.deadline = loop.after(leftMillis, () -> timedOut(call));
     long maxIdle = call.run.idempotent() ? Long.MAX_VALUE : FRESH_IDLE_MILLIS;
     call.call =
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -16,6 +16,7 @@
 import io.hemlockbend.proxy.RawServer;
 import io.hemlockbend.proxy.http.FieldNames;
 import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.MoveOrder;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.io.IOException;
@@ -31,6 +32,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /** Nodes in one process, each with an upstream of a script beside it. */
 final class MeshFixture implements AutoCloseable {
@@ -68,7 +70,7 @@
               loop,
               settings,
               bytes -> configuration(bytes[0]),
-              (move, done) -> done.accept(true),
+              new NothingKept(),
               DecisionSink.NONE);
       loop.start();
       on(
@@ -96,22 +98,25 @@
     }
 
     void announce(boolean draining, long coldMillis) {
-      InetSocketAddress at = upstream.address();
-      UpstreamRecord record =
-          new UpstreamRecord(
-              id,
-              1,
-              SERVICE,
-              V1,
-              node.mesh().self().domain(),
-              at.getAddress().getHostAddress() + ":" + at.getPort(),
-              4,
-              draining,
-              coldMillis,
-              sequence.incrementAndGet());
+      UpstreamRecord record = record(draining, coldMillis);
       on(() -> node.upstream().announced(record));
     }
 
+    UpstreamRecord record(boolean draining, long coldMillis) {
+      InetSocketAddress at = upstream.address();
+      return new UpstreamRecord(
+          id,
+          1,
+          SERVICE,
+          V1,
+          node.mesh().self().domain(),
+          at.getAddress().getHostAddress() + ":" + at.getPort(),
+          4,
+          draining,
+          coldMillis,
+          sequence.incrementAndGet());
+    }
+
     void orders(long version, Set<FailureDomain> withdrawn) {
       on(() -> node.takeOrders(new OperatorOrders(version, withdrawn, List.of())));
     }
@@ -189,4 +194,16 @@
       throw new java.io.UncheckedIOException(e);
     }
   }
+
+  private static final class NothingKept implements DurableState {
+    @Override
+    public void keepMove(MoveOrder move, Consumer<Boolean> done) {
+      done.accept(true);
+    }
+
+    @Override
+    public void keepUpstream(UpstreamRecord upstream) {
+      // Tests restore records by themselves.
+    }
+  }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.RawServer;
 import java.net.Socket;
 import java.time.Duration;
@@ -142,6 +143,18 @@
     await().atMost(WAIT).until(() -> first.ask(() -> first.node.orders().version()) == 5L);
   }
 
+  @Test
+  void restoredUpstreamIsUsedOnceItsHealthCheckAnswers() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    UpstreamRecord kept = first.record(false, 0);
+    first.on(() -> first.node.upstream().restore(kept));
+    await()
+        .atMost(WAIT)
+        .untilAsserted(
+            () -> assertThat(MeshFixture.get(first, "/a/", "q2")).startsWith("HTTP/1.1 200"));
+    assertThat(mesh.ran).first().isEqualTo("@n1");
+  }
+
   @Test
   void neverGoesBackToAnOlderConfiguration() {
     MeshFixture.Member first = mesh.add("tunis");
