--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -183,7 +183,7 @@
         : mesh.run(placed.peer(), run, listener);
   }
 
-  void ended(EntryCall call, int status, String outcome, NodeId node) {
+  void ended(EntryCall call, int status, EntryOutcome outcome, String why, NodeId node) {
     open--;
     long tookMillis = loop.millis() - call.exchange().receivedMillis();
     counters.ended(status, outcome, tookMillis);
@@ -194,12 +194,16 @@
         call.route().name(),
         "configuration",
         configuration.version(),
-        "upstreamNode",
+        "tries",
+        call.tries(),
+        "answeredBy",
         node,
         "status",
         status,
         "outcome",
-        outcome,
+        outcome.word(),
+        "why",
+        why.isEmpty() ? null : why,
         "tookMillis",
         tookMillis);
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -31,6 +31,7 @@
   private HttpReply failure;
   private Runnable takeBack;
   private String lastRefusal = NONE;
+  private final StringBuilder tries = new StringBuilder();
   private int placements;
   private int sends;
   private boolean late;
@@ -63,6 +64,11 @@
     return service;
   }
 
+  /** Returns the nodes that it was sent to, in their order. */
+  String tries() {
+    return tries.toString();
+  }
+
   long remainingMillis() {
     return deadlineMillis - entry.loop().millis();
   }
@@ -97,6 +103,7 @@
     sends++;
     int send = sends;
     NodeId node = placed.node();
+    tries.append(tries.isEmpty() ? "" : ",").append(node).append(late ? "(late)" : "");
     Runnable back = entry.run(this, placed, end -> ended(node, end));
     boolean ended = over || send != sends;
     if (!ended) {
@@ -137,7 +144,7 @@
     int status = answered.reply().status();
     boolean failed = HttpStatus.isServerError(status) && status != HttpStatus.GATEWAY_TIMEOUT_504;
     if (!failed || !route.idempotent()) {
-      finish(answered.reply(), "answered", node);
+      finish(answered.reply(), EntryOutcome.ANSWERED, "", node);
       return;
     }
     ranOn.add(node);
@@ -154,7 +161,7 @@
             && entry.hasCandidate(this)
             && entry.takeRetry(service);
     if (!allowed) {
-      finish(failure, why, null);
+      finish(failure, EntryOutcome.FAILED, why, null);
       return;
     }
     entry.note("retry", exchange, "why", why, "route", route.name());
@@ -163,10 +170,11 @@
 
   private void refuse(String reason, long afterMillis) {
     if (failure != null) {
-      finish(failure, reason, null);
+      finish(failure, EntryOutcome.FAILED, reason, null);
       return;
     }
-    finish(Refusals.notRun(reason, afterMillis, entry.random()), "refused:" + reason, null);
+    HttpReply reply = Refusals.notRun(reason, afterMillis, entry.random());
+    finish(reply, EntryOutcome.REFUSED, reason, null);
   }
 
   private void late() {
@@ -176,7 +184,7 @@
     if (takeBack != null) {
       takeBack.run();
     }
-    finish(failure != null ? failure : Refusals.late(), "late", null);
+    finish(failure != null ? failure : Refusals.late(), EntryOutcome.LATE, "", null);
   }
 
   private void abandoned() {
@@ -188,13 +196,13 @@
     if (takeBack != null) {
       takeBack.run();
     }
-    entry.ended(this, 0, "abandoned", null);
+    entry.ended(this, 0, EntryOutcome.ABANDONED, "", null);
   }
 
-  private void finish(HttpReply reply, String outcome, NodeId node) {
+  private void finish(HttpReply reply, EntryOutcome outcome, String why, NodeId node) {
     over = true;
     deadline.cancel();
-    entry.ended(this, reply.status(), outcome, node);
+    entry.ended(this, reply.status(), outcome, why, node);
     exchange.respond(reply);
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCounters.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCounters.java
@@ -14,9 +14,9 @@
   private final long[] latency = new long[BUCKETS_MILLIS.length + 1];
   private long latencySumMillis;
 
-  void ended(int status, String outcome, long tookMillis) {
+  void ended(int status, EntryOutcome outcome, long tookMillis) {
     byStatus.merge(status, 1L, Long::sum);
-    byOutcome.merge(outcome, 1L, Long::sum);
+    byOutcome.merge(outcome.word(), 1L, Long::sum);
     int bucket = 0;
     while (bucket < BUCKETS_MILLIS.length && tookMillis > BUCKETS_MILLIS[bucket]) {
       bucket++;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -138,6 +138,11 @@
     return peer != null && alive(peer);
   }
 
+  /** Returns how many other nodes answer. */
+  public int aliveCount() {
+    return (int) peers.values().stream().filter(this::alive).count();
+  }
+
   /** Sends a request to a peer; returns what takes it back. */
   Runnable run(Peer peer, RunRequest request, Consumer<RunEnd> listener) {
     if (peer.link == null) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -178,15 +178,50 @@
    * @return takes the request back when its caller leaves
    */
   public Runnable run(RunRequest run, Consumer<RunEnd> listener) {
+    Consumer<RunEnd> noted =
+        end -> {
+          note(run, end);
+          listener.accept(end);
+        };
     if (state == UpstreamState.UP && !withdrawn) {
-      return runs.run(run, listener);
+      return runs.run(run, noted);
     }
     String reason =
         withdrawn ? "domain-withdrawn" : "upstream-" + state.name().toLowerCase(Locale.ROOT);
-    listener.accept(new RunEnd.NotRun(reason));
+    noted.accept(new RunEnd.NotRun(reason));
     return () -> {};
   }
 
+  /** Logs the ends that are no answers, with the load that explains them. */
+  private void note(RunRequest run, RunEnd end) {
+    String reason =
+        switch (end) {
+          case RunEnd.Answered ignored -> null;
+          case RunEnd.NotRun notRun -> notRun.reason();
+          case RunEnd.Lost lost -> lost.reason();
+        };
+    if (reason != null) {
+      UpstreamLoad now = load();
+      sink.decided(
+          end instanceof RunEnd.Lost ? "run-lost" : "not-run",
+          run.id(),
+          "upstream",
+          run.upstream(),
+          "why",
+          reason,
+          "running",
+          now.running(),
+          "queued",
+          now.queued(),
+          "limit",
+          now.limit(),
+          "remainingMillis",
+          run.remainingMillis(),
+          "targetMillis",
+          run.targetMillis());
+    }
+  }
+
   private void begin(UpstreamRecord news) {
     runs.begin(news);
     state = UpstreamState.UP;
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/metrics/MetricsPageTest.java
@@ -0,0 +1,35 @@
+package io.hemlockbend.proxy.metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class MetricsPageTest {
+  private final MetricsPage page = new MetricsPage();
+
+  @Test
+  void showsCountersGaugesAndHistogram() {
+    long[] latency = {1, 0, 0, 2, 0, 0, 0, 0, 0, 0, 1};
+    String text = page.text(snapshot(Map.of(200, 3L, 503, 1L), latency));
+    assertThat(text)
+        .contains("hemlockbend_requests_total{status=\"200\"} 3.0")
+        .contains("hemlockbend_requests_total{status=\"503\"} 1.0")
+        .contains("hemlockbend_request_millis_total{le=\"50\"} 3.0")
+        .contains("hemlockbend_request_millis_total{le=\"+Inf\"} 4.0")
+        .contains("hemlockbend_upstream_limit 9.0");
+  }
+
+  @Test
+  void showsStatusesThatComeLater() {
+    page.text(snapshot(Map.of(200, 1L), new long[11]));
+    assertThat(page.text(snapshot(Map.of(200, 5L, 504, 2L), new long[11])))
+        .contains("hemlockbend_requests_total{status=\"200\"} 5.0")
+        .contains("hemlockbend_requests_total{status=\"504\"} 2.0");
+  }
+
+  private static NodeSnapshot snapshot(Map<Integer, Long> byStatus, long[] latency) {
+    return new NodeSnapshot(
+        byStatus, Map.of("answered", 3L), latency, 120, 4, 2, 1, 3, 0, 9, 7, 13, 5, 0);
+  }
+}
