--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/message/PeerMessage.java
@@ -70,7 +70,12 @@
    * @param upstreams the upstreams that crashed with it, each once for each of its crashes
    * @param untilMillis until when the report counts, milliseconds since the epoch
    */
-  record Suspicion(RequestId request, List<UpstreamId> upstreams, long untilMillis) {}
+  record Suspicion(RequestId request, List<UpstreamId> upstreams, long untilMillis) {
+    /** Returns the report as a clock shows it that is ahead by some milliseconds. */
+    public Suspicion shifted(long millis) {
+      return new Suspicion(request, upstreams, untilMillis + millis);
+    }
+  }
 
   /**
    * Asks a peer whether it is alive, and spreads news.
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.traffic.CallerLimits;
 import io.hemlockbend.core.traffic.TrafficConfiguration;
 import io.hemlockbend.core.traffic.TrafficService;
@@ -15,6 +16,7 @@
 import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.RunRequest;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
+import io.hemlockbend.proxy.upstream.CrashWatch;
 import io.hemlockbend.proxy.upstream.LocalUpstream;
 import io.hemlockbend.proxy.upstream.UpstreamState;
 import java.util.ArrayList;
@@ -37,6 +39,7 @@
   private final MeshSettings settings;
   private final Function<byte[], TrafficConfiguration> decoder;
   private final DecisionSink sink;
+  private final CrashWatch crashes;
   private final LocalUpstream upstream;
   private final PeerMesh mesh;
   private final ServiceVersions versions = new ServiceVersions();
@@ -71,12 +74,14 @@
     this.settings = settings;
     this.decoder = decoder;
     this.sink = sink;
+    this.crashes = new CrashWatch(loop, this::spreadCrashes);
     this.upstream =
         new LocalUpstream(
             loop,
             settings.upstream(),
             settings.names(),
             sink,
+            crashes,
             this::announceSoon,
             durable::keepUpstream);
     this.mesh = new PeerMesh(loop, settings.self(), this, sink);
@@ -221,7 +226,7 @@
         storeReachable,
         upstream.state() == UpstreamState.UNKNOWN ? null : upstream.record(),
         upstream.load(),
-        upstream.counts(),
+        versions.moving() ? upstream.counts() : List.of(),
         versions.shares());
   }
 
@@ -244,6 +249,12 @@
     }
   }
 
+  @Override
+  public void crashes(List<Suspicion> reports) {
+    long nowMillis = loop.millis();
+    crashes.merge(reports.stream().map(report -> report.shifted(nowMillis)).toList());
+  }
+
   @Override
   public Runnable run(RunRequest request, Consumer<RunEnd> listener) {
     return upstream.run(request, listener);
@@ -306,6 +317,15 @@
     return connection;
   }
 
+  /** Nodes' clocks differ: reports travel with the time that is left to them. */
+  private void spreadCrashes(List<Suspicion> reports) {
+    long nowMillis = loop.millis();
+    sink.decided("crash-suspects", null, "requests", reports.size(), "latest", reports.get(0));
+    mesh.broadcast(
+        new NodeMessage.Crashes(
+            reports.stream().map(report -> report.shifted(-nowMillis)).toList()));
+  }
+
   private CallerLimits limits() {
     return configuration == null ? CallerLimits.DEFAULT : configuration.limits();
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.loop.EventLoop;
 import io.hemlockbend.proxy.peer.NodeInfo;
@@ -43,6 +44,9 @@
     /** Returns how loaded the upstream beside this node is. */
     UpstreamLoad load();
 
+    /** Hears of crashes of other nodes' upstreams. */
+    void crashes(List<Suspicion> reports);
+
     /** Hears a report. */
     void reported(NodeId node, NodeReport report);
 
@@ -166,6 +170,11 @@
     accepted.forEach(link -> link.send(report));
   }
 
+  /** Sends a message to all nodes that dialed this one. */
+  public void broadcast(NodeMessage message) {
+    accepted.forEach(link -> link.send(message));
+  }
+
   /** Asks one node that is ahead of this one for its documents. */
   public void fetchFrom(NodeId node) {
     Peer peer = peers.get(node);
@@ -255,6 +264,7 @@
         }
         case NodeMessage.Configuration document -> owner.document(document);
         case NodeMessage.Orders document -> owner.document(document);
+        case NodeMessage.Crashes crashes -> owner.crashes(crashes.reports());
         default -> connection.end(new IllegalStateException("unexpected " + message));
       }
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -70,6 +70,11 @@
     firstSeen.putIfAbsent(service, version);
   }
 
+  /** Returns whether any traffic moves. */
+  public boolean moving() {
+    return orders.values().stream().anyMatch(order -> order.state() == MoveOrder.State.RUNNING);
+  }
+
   /** Returns what a version of a service may get. */
   public VersionGroup group(ServiceName service, VersionName version) {
     MoveOrder order = orders.get(service);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.peer;
 
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import java.util.List;
 
 /** A message between two nodes. */
@@ -68,4 +69,11 @@
    * @param orders the orders
    */
   record Orders(OperatorOrders orders) implements NodeMessage {}
+
+  /**
+   * Requests that were in flight when upstreams crashed.
+   *
+   * @param reports the reports; their times are how long they count from now on
+   */
+  record Crashes(List<Suspicion> reports) implements NodeMessage {}
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.proxy.peer.NodeMessage.Cancel;
 import io.hemlockbend.proxy.peer.NodeMessage.Configuration;
+import io.hemlockbend.proxy.peer.NodeMessage.Crashes;
 import io.hemlockbend.proxy.peer.NodeMessage.Ended;
 import io.hemlockbend.proxy.peer.NodeMessage.Fetch;
 import io.hemlockbend.proxy.peer.NodeMessage.Hello;
@@ -30,6 +31,7 @@
   private static final int PING = 7;
   private static final int FETCH = 8;
   private static final int ORDERS = 9;
+  private static final int CRASHES = 10;
 
   private NodeMessageCodec() {}
 
@@ -93,6 +95,10 @@
         packer.packInt(ORDERS);
         OrdersCodec.write(packer, orders.orders());
       }
+      case Crashes crashes -> {
+        packer.packInt(CRASHES);
+        CrashesCodec.write(packer, crashes.reports());
+      }
     }
   }
 
@@ -123,6 +129,7 @@
       case PING -> new Ping(unpacker.unpackLong());
       case FETCH -> new Fetch();
       case ORDERS -> new Orders(OrdersCodec.read(unpacker));
+      case CRASHES -> new Crashes(CrashesCodec.read(unpacker));
       default -> throw new PeerException("unknown kind of message " + kind, null);
     };
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/AdmissionRequests.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/AdmissionRequests.java
@@ -14,19 +14,17 @@
 
 /** Makes of a request what admission decides on and what goes to the upstream. */
 final class AdmissionRequests {
-  private static final RequestId NO_ID = new RequestId("none");
-
   private AdmissionRequests() {}
 
   /**
    * Makes the admission of a request. One that can still be answered in time to have its full value
    * waits until then at most; one that is late runs when nothing else waits.
    */
-  static AdmissionRequest of(RunRequest run, long nowMillis) {
+  static AdmissionRequest of(RunRequest run, RequestId fingerprint, long nowMillis) {
     boolean late = run.targetMillis() <= 0;
     long waitMillis = late ? run.remainingMillis() : run.targetMillis();
     return new AdmissionRequest(
-        NO_ID,
+        fingerprint,
         new RouteName(run.route()),
         run.version(),
         late ? Priority.BULK : priority(run.priority()),
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -31,6 +31,7 @@
   private final HealthProbe probe;
   private final String address;
   private final DecisionSink sink;
+  private final CrashWatch crashes;
   private final Runnable changed;
   private final Consumer<UpstreamRecord> began;
   private final ColdRate coldRate = new ColdRate(Double.MAX_VALUE);
@@ -48,6 +49,7 @@
    * @param address the upstream's address
    * @param names the header fields with a meaning
    * @param sink takes note of decisions
+   * @param crashes finds requests that crash upstreams
    * @param changed hears that the upstream's record or state changed
    * @param began hears that another process of the upstream announced itself
    */
@@ -56,16 +58,18 @@
       InetSocketAddress address,
       FieldNames names,
       DecisionSink sink,
+      CrashWatch crashes,
       Runnable changed,
       Consumer<UpstreamRecord> began) {
     this.loop = loop;
     this.sink = sink;
+    this.crashes = crashes;
     this.changed = changed;
     this.began = began;
     this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
     this.pool = new UpstreamPool(loop, address, names.requestId());
     this.probe = new HealthProbe(pool, names);
-    this.runs = new UpstreamRuns(loop, pool, names, coldRate, new RunObserver());
+    this.runs = new UpstreamRuns(loop, pool, names, coldRate, crashes, new RunObserver());
   }
 
   /**
@@ -258,6 +262,13 @@
     probeHealth();
   }
 
+  private void crashed(String why) {
+    if (state == UpstreamState.UP) {
+      crashes.crashed();
+      suspect(why);
+    }
+  }
+
   private void probeHealth() {
     if (state == UpstreamState.DOWN) {
       probes++;
@@ -291,14 +302,14 @@
 
     @Override
     public void unreachable(String reason) {
-      suspect(reason);
+      crashed(reason);
     }
 
     @Override
     public void brokeOff(String reason) {
       lostInRow++;
       if (lostInRow >= LOST_TO_DOWN) {
-        suspect(reason);
+        crashed(reason);
       }
     }
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -9,8 +9,10 @@
 import io.hemlockbend.core.admission.Dropped;
 import io.hemlockbend.core.admission.Grant;
 import io.hemlockbend.core.admission.Permit;
+import io.hemlockbend.core.admission.RefusalReason;
 import io.hemlockbend.core.admission.RunOutcome;
 import io.hemlockbend.core.admission.Ticket;
+import io.hemlockbend.core.api.RequestId;
 import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.StartId;
 import io.hemlockbend.core.api.VersionKey;
@@ -59,6 +61,7 @@
   private final FieldNames names;
   private final Observer observer;
   private final ColdRate coldRate;
+  private final CrashWatch crashes;
   private final RouteTally tally = new RouteTally();
   private final Map<Ticket, RunningCall> queued = new HashMap<>();
   private AdmissionController controller;
@@ -66,11 +69,17 @@
   private double serviceMillis;
 
   UpstreamRuns(
-      EventLoop loop, UpstreamPool pool, FieldNames names, ColdRate coldRate, Observer observer) {
+      EventLoop loop,
+      UpstreamPool pool,
+      FieldNames names,
+      ColdRate coldRate,
+      CrashWatch crashes,
+      Observer observer) {
     this.loop = loop;
     this.pool = pool;
     this.names = names;
     this.coldRate = coldRate;
+    this.crashes = crashes;
     this.observer = observer;
   }
 
@@ -78,6 +87,7 @@
   void begin(UpstreamRecord news) {
     dropAll("upstream-replaced");
     record = news;
+    crashes.watch(news.id());
     int slots = Math.max(1, news.slots());
     AdmissionSettings settings =
         new AdmissionSettings(
@@ -120,7 +130,12 @@
       listener.accept(new RunEnd.NotRun("cold"));
       return () -> {};
     }
-    AdmissionRequest admission = AdmissionRequests.of(run, nowMillis);
+    RequestId fingerprint = Fingerprints.of(run.http(), names.callerService());
+    if (crashes.quarantined(fingerprint)) {
+      listener.accept(new RunEnd.NotRun(RefusalReason.QUARANTINED.word()));
+      return () -> {};
+    }
+    AdmissionRequest admission = AdmissionRequests.of(run, fingerprint, nowMillis);
     RunningCall call = new RunningCall(run, admission, controller, listener, nowMillis);
     switch (controller.offer(admission, nowMillis)) {
       case AdmissionDecision.Admitted admitted -> start(call, admitted.permit());
@@ -155,6 +170,7 @@
       return;
     }
     coldRate.sent(nowMillis);
+    crashes.started(call.admission.id());
     call.sentMillis = nowMillis;
     long leftMillis = call.deadlineMillis - nowMillis;
     call.deadline = loop.after(leftMillis, () -> timedOut(call));
@@ -166,6 +182,7 @@
 
   private void timedOut(RunningCall call) {
     call.call.cancel();
+    crashes.answered(call.admission.id());
     release(call, RunOutcome.TIMED_OUT);
     call.end(new RunEnd.Lost("no answer by the deadline"));
   }
@@ -180,6 +197,7 @@
       call.end(new RunEnd.NotRun("cancelled"));
     } else if (call.run.idempotent()) {
       call.call.cancel();
+      crashes.broken(call.admission.id());
       release(call, RunOutcome.CANCELLED);
       call.end(new RunEnd.Lost("cancelled"));
     }
@@ -226,6 +244,7 @@
     @Override
     public void answered(HttpReply reply) {
       long took = loop.millis() - call.sentMillis;
+      crashes.answered(call.admission.id());
       observer.answered();
       if (reply.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
         release(call, RunOutcome.NOT_SENT);
@@ -249,6 +268,7 @@
 
     @Override
     public void notSent(String reason) {
+      crashes.answered(call.admission.id());
       release(call, RunOutcome.NOT_SENT);
       call.end(new RunEnd.NotRun(reason));
       observer.unreachable(reason);
@@ -257,6 +277,7 @@
     @Override
     public void lost(String reason) {
       learn(true, loop.millis() - call.sentMillis);
+      crashes.broken(call.admission.id());
       release(call, RunOutcome.BROKEN);
       call.end(new RunEnd.Lost(reason));
       observer.brokeOff(reason);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -5,11 +5,13 @@
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.RequestId;
 import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.http.HttpReply;
 import io.hemlockbend.proxy.http.HttpRequest;
@@ -47,6 +49,8 @@
         new NodeMessage.Report(99, report),
         new NodeMessage.Cancel(6),
         new NodeMessage.Ping(123),
+        new NodeMessage.Crashes(
+            List.of(new Suspicion(new RequestId("f"), List.of(new UpstreamId("i-1")), 600_000))),
         new NodeMessage.Fetch(),
         new NodeMessage.Ended(6, new RunEnd.NotRun("full"), LOAD),
         new NodeMessage.Ended(6, new RunEnd.Lost("reset"), LOAD),
