--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -28,8 +28,18 @@
  * without answers to its pings is not used, and is dialed anew when it stays so.
  */
 public final class PeerMesh {
-  private static final long PING_MILLIS = 500;
-  private static final long SUSPECT_MILLIS = 1_400;
+  private static final long TICK_MILLIS = 100;
+  private static final long MIN_PING_MILLIS = 500;
+  private static final long MAX_PING_MILLIS = 1_000;
+
+  /**
+   * How many nodes are asked every {@link #MIN_PING_MILLIS}; with more, each is asked less often.
+   */
+  private static final int OFTEN_ASKED = 24;
+
+  /** How many pings without an answer make a link suspect. */
+  private static final double SUSPECT_PINGS = 2.8;
+
   private static final long DEAD_MILLIS = 3_000;
   private static final long REDIAL_MILLIS = 300;
   private static final long MAX_REDIAL_MILLIS = 2_000;
@@ -79,7 +89,7 @@
     this.self = self;
     this.owner = owner;
     this.sink = sink;
-    loop.every(PING_MILLIS, this::tick);
+    loop.every(TICK_MILLIS, this::tick);
   }
 
   /** Makes the connection of a node that dialed this one. */
@@ -133,7 +143,7 @@
   boolean alive(Peer peer) {
     return peer.link != null
         && peer.report != null
-        && loop.millis() - peer.reportMillis < SUSPECT_MILLIS;
+        && loop.millis() - peer.reportMillis < SUSPECT_PINGS * pingMillis();
   }
 
   /** Returns whether the node of a name answers. */
@@ -198,12 +208,19 @@
       } else if (nowMillis - Math.max(peer.reportMillis, peer.dialedMillis) > DEAD_MILLIS) {
         sink.decided("link-silent", null, "peer", peer.info.node());
         peer.link.end(null);
-      } else {
+      } else if (nowMillis - peer.pingedMillis >= pingMillis()) {
+        peer.pingedMillis = nowMillis;
         peer.link.send(new NodeMessage.Ping(nowMillis));
       }
     }
   }
 
+  /** Returns how often each node is asked, so that a node's pings are bounded in a large mesh. */
+  private long pingMillis() {
+    return Math.clamp(
+        MIN_PING_MILLIS * peers.size() / OFTEN_ASKED, MIN_PING_MILLIS, MAX_PING_MILLIS);
+  }
+
   private void redialWhenDue(Peer peer, long nowMillis) {
     long pause = Math.min(MAX_REDIAL_MILLIS, REDIAL_MILLIS * (1 + peer.failedDials));
     if (!peer.dialing && nowMillis - peer.dialedMillis >= pause) {
@@ -247,7 +264,8 @@
       peer.link = connection;
       peer.dialedMillis = loop.millis();
       connection.send(new NodeMessage.Hello(self, known()));
-      connection.send(new NodeMessage.Ping(loop.millis()));
+      peer.pingedMillis = loop.millis();
+      connection.send(new NodeMessage.Ping(peer.pingedMillis));
       sink.decided("link-open", null, "peer", peer.info.node());
     }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
@@ -10,7 +10,7 @@
 /** A connection with another node; carries messages both ways. */
 public final class PeerConnection extends LoopConnection {
   private static final int MAX_FRAME_BYTES = 80 * 1024 * 1024;
-  private static final int FIRST_BYTES = 16 * 1024;
+  private static final int FIRST_BYTES = 4 * 1024;
 
   /** Hears what happens on a connection. */
   public interface Listener {
