Settle moves after a change of leader; keep turns over configurations; be ready by a peer's word; take no announcement of another service

Found by reading: a new leader never kept an outcome that the one before had only told the nodes; a storm of configurations dealt each split route's first turns again and again; a node restarted while the store is away knew the other nodes by their hellos and still was not ready; a heartbeat of another writer with this upstream's address and a later start replaced the upstream.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/WeightedTurns.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/WeightedTurns.java
@@ -32,6 +32,11 @@
     }
   }
 
+  /** Returns the services that the turns are dealt to. */
+  public List<WeightedService> services() {
+    return services;
+  }
+
   /** Returns whose turn it is. */
   public ServiceName next() {
     int best = 0;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -39,6 +39,8 @@
   private static final double CROSS_DOMAIN_MILLIS = 4;
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
   private static final int PERMILLE = 1000;
+  private static final int MAX_TURN_OFFSET = 64;
+  private static final int MAX_TURNS = 10_000;
 
   private final EventLoop loop;
   private final FieldNames names;
@@ -79,7 +81,9 @@
   /** Takes in a newer configuration. */
   public void configuration(TrafficConfiguration news) {
     configuration = news;
-    turns.clear();
+    if (turns.size() > MAX_TURNS) {
+      turns.clear();
+    }
   }
 
   /** Takes in which failure domains get no work. */
@@ -270,9 +274,13 @@
       return route.services().get(0).service();
     }
     String key = route.host() + route.prefix();
-    return turns
-        .computeIfAbsent(key, name -> new WeightedTurns(route.services(), mesh.self().hashCode()))
-        .next();
+    WeightedTurns dealt = turns.get(key);
+    // A new configuration with the same weights goes on where the one before was.
+    if (dealt == null || !dealt.services().equals(route.services())) {
+      dealt = new WeightedTurns(route.services(), random.nextInt(MAX_TURN_OFFSET));
+      turns.put(key, dealt);
+    }
+    return dealt.next();
   }
 
   private long deadline(Exchange exchange, TrafficRoute route) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.traffic.CallerLimits;
 import io.hemlockbend.core.traffic.TrafficConfiguration;
 import io.hemlockbend.core.traffic.TrafficService;
+import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.http.HttpServerConnection;
 import io.hemlockbend.proxy.loop.EventLoop;
@@ -153,6 +154,16 @@
     }
   }
 
+  /**
+   * Takes in what the upstream beside the node says of itself.
+   *
+   * @return whether it was taken in; a record of another service, of another address or older than
+   *     the one known is not
+   */
+  public boolean takeAnnouncement(UpstreamRecord news) {
+    return news.service().equals(settings.service()) && upstream.announced(news);
+  }
+
   /**
    * Takes in a configuration; one that is not newer than the one in force is ignored.
    *
@@ -265,6 +276,11 @@
     sink.decided("node-found", null, "peer", node.node(), "address", node.address());
   }
 
+  @Override
+  public void greeted() {
+    membersKnown = true;
+  }
+
   @Override
   public List<NodeMessage> documents() {
     List<NodeMessage> all = new ArrayList<>();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -11,7 +11,9 @@
 import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Leads moves of traffic while this node is the first by name of those that reach the store. It
@@ -30,6 +32,7 @@
   private final DurableState durable;
   private final DecisionSink sink;
   private final Map<ServiceName, LedMove> led = new HashMap<>();
+  private final Set<Long> settled = new HashSet<>();
   private final Map<ServiceName, Long> seenMillis = new HashMap<>();
   private final Map<ServiceName, Long> seenOrder = new HashMap<>();
 
@@ -67,8 +70,8 @@
       MoveOrder order = versions.order(known.service());
       if (order != null && order.state() == MoveOrder.State.RUNNING) {
         lead(order);
-      } else {
-        settle(known.service(), order);
+      } else if (order != null && known.state() == MoveOrder.State.RUNNING) {
+        settle(order);
       }
     }
   }
@@ -187,22 +190,23 @@
             publish(move.order, MoveRamp.ALL_PERMILLE, 0, state);
           }
           if (kept) {
+            settled.add(move.order.order());
             led.remove(move.order.service());
           }
         });
   }
 
-  /** Keeps the outcome of a move that was decided on here, when the store refused it before. */
-  private void settle(ServiceName service, MoveOrder order) {
-    LedMove move = led.get(service);
-    if (move == null) {
+  /** Keeps an outcome that was decided on, here or by a leader before this one. */
+  private void settle(MoveOrder order) {
+    if (settled.contains(order.order())) {
       return;
     }
-    if (order == null || order.order() != move.order.order()) {
-      led.remove(service);
-    } else {
-      keep(move, order.state());
+    LedMove move = led.get(order.service());
+    if (move == null || move.order.order() != order.order()) {
+      move = new LedMove(order, loop.millis());
+      led.put(order.service(), move);
     }
+    keep(move, order.state());
   }
 
   private boolean oldIdle(MoveOrder order) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -66,6 +66,9 @@
     /** Hears of nodes that it did not know. */
     void discovered(NodeInfo node);
 
+    /** Hears that another node told which nodes it knows. */
+    void greeted();
+
     /** Returns the documents that this node holds, for another one that is behind. */
     List<NodeMessage> documents();
 
@@ -325,6 +328,7 @@
         case NodeMessage.Hello hello -> {
           learn(hello.sender());
           hello.known().forEach(PeerMesh.this::learn);
+          owner.greeted();
         }
         case NodeMessage.Ping ping ->
             connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -77,7 +77,6 @@
           () -> {
             node.listen();
             node.takeConfiguration(new byte[] {1});
-            node.membersKnown();
           });
     }
 
@@ -99,7 +98,7 @@
 
     void announce(boolean draining, long coldMillis) {
       UpstreamRecord record = record(draining, coldMillis);
-      on(() -> node.upstream().announced(record));
+      on(() -> node.takeAnnouncement(record));
     }
 
     UpstreamRecord record(boolean draining, long coldMillis) {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.RawServer;
 import java.net.Socket;
@@ -155,6 +156,35 @@
     assertThat(mesh.ran).first().isEqualTo("@n1");
   }
 
+  @Test
+  void isReadyOnceItKnowsTheOthersFromOneOfThem() {
+    MeshFixture.Member first = mesh.add("tunis");
+    assertThat(first.ask(first.node::ready)).isFalse();
+    mesh.add("sfax");
+    await().atMost(WAIT).until(() -> first.ask(first.node::ready));
+  }
+
+  @Test
+  void announcementOfAnotherServiceReplacesNothing() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    first.announce(false, 0);
+    UpstreamRecord own = first.record(false, 0);
+    UpstreamRecord foreign =
+        new UpstreamRecord(
+            own.id(),
+            own.startedMillis() + 1,
+            new ServiceName("elsewhere"),
+            own.version(),
+            own.domain(),
+            own.address(),
+            own.slots(),
+            false,
+            0,
+            own.sequence());
+    first.on(() -> assertThat(first.node.takeAnnouncement(foreign)).isFalse());
+    assertThat(MeshFixture.get(first, "/a/", "q1")).startsWith("HTTP/1.1 200");
+  }
+
   @Test
   void neverGoesBackToAnOlderConfiguration() {
     MeshFixture.Member first = mesh.add("tunis");
@@ -167,6 +197,8 @@
   void leavingNodeIsNotReadyAndStillServes() throws Exception {
     MeshFixture.Member first = mesh.add("tunis");
     first.announce(false, 0);
+    first.on(first.node::membersKnown);
+    assertThat(first.ask(first.node::ready)).isTrue();
     AtomicBoolean stopped = new AtomicBoolean();
     first.on(() -> first.node.stop(() -> stopped.set(true)));
     assertThat(first.ask(first.node::ready)).isFalse();
