--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -17,6 +17,7 @@
 import io.hemlockbend.proxy.http.HttpMessages;
 import io.hemlockbend.proxy.http.HttpRequest;
 import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.RunRequest;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
@@ -231,14 +232,14 @@
           own.running() + own.queued());
     }
     for (Peer peer : mesh.peers()) {
-      if (mesh.alive(peer) && !peer.report.leaving() && peer.report.upstream() != null) {
-        add(
-            all,
-            call,
-            group,
-            new Placed(peer.info.node(), peer, peer.report.upstream()),
-            peer.load,
-            peer.busy());
+      NodeReport report = peer.report;
+      boolean serves =
+          report != null
+              && report.upstream() != null
+              && report.upstream().service().equals(call.service());
+      if (serves && !report.leaving() && mesh.alive(peer)) {
+        Placed placed = new Placed(peer.info.node(), peer, report.upstream());
+        add(all, call, group, placed, peer.load, peer.busy());
       }
     }
     return all;
