--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -38,7 +38,7 @@
   private static final int OFTEN_ASKED = 24;
 
   /** How many pings without an answer make a link suspect. */
-  private static final double SUSPECT_PINGS = 2.8;
+  private static final double SUSPECT_PINGS = 2;
 
   private static final long DEAD_MILLIS = 3_000;
   private static final long REDIAL_MILLIS = 300;
