Place less on upstreams that fail requests while their health is good

The node beside an upstream now tells the share of its latest requests that failed, and entries weigh it.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
@@ -9,6 +9,7 @@
  * @param running how many requests it runs or holds, with this entry's own up to now
  * @param limit how many it may run at once; more than 0
  * @param serviceMillis how long a request usually takes there; 0 when not known
+ * @param failureShare the share of its latest requests that failed
  * @param near whether it is in the entry's own failure domain
  * @param crossingMillis how long the way there and back takes
  */
@@ -17,13 +18,21 @@
     double running,
     int limit,
     double serviceMillis,
+    double failureShare,
     boolean near,
     double crossingMillis) {
   private static final double UNKNOWN_SERVICE_MILLIS = 50;
 
-  /** Returns roughly how long a request would take there. */
+  /** Keeps the cost of an upstream that fails everything finite. */
+  private static final double LEAST_SUCCESS = 0.05;
+
+  /**
+   * Returns roughly how long a request would take there, tries that fail included: a failure costs
+   * the caller more than the time of another try, so that they count twice.
+   */
   public double cost() {
     double service = serviceMillis > 0 ? serviceMillis : UNKNOWN_SERVICE_MILLIS;
-    return service * (running + 1) / limit + crossingMillis;
+    double success = Math.max(LEAST_SUCCESS, 1 - failureShare);
+    return (service * (running + 1) / limit + crossingMillis) / (success * success);
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
@@ -6,15 +6,18 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses an upstream: one in the entry's own failure domain while any there has room, so that
- * bodies do not cross between domains without need; else the less loaded of two drawn at random.
- * Entries see loads with a delay; two choices keep them from all rushing to the one that was least
- * loaded a moment ago.
+ * Chooses an upstream: one in the entry's own failure domain while any there has room and answers
+ * well, so that bodies do not cross between domains without need; else the less loaded of two drawn
+ * at random. Entries see loads with a delay; two choices keep them from all rushing to the one that
+ * was least loaded a moment ago.
  */
 public final class UpstreamChooser {
   /** How full an upstream of the own domain may be to be chosen before others. */
   public static final double NEAR_FILL = 0.75;
 
+  /** The share of failures above which being near counts for nothing. */
+  public static final double NEAR_FAILURES = 0.1;
+
   private final RandomGenerator random;
 
   /** Makes a chooser that draws from a generator. */
@@ -26,7 +29,8 @@
   public Optional<PlacedUpstream> choose(List<PlacedUpstream> upstreams) {
     List<PlacedUpstream> near = new ArrayList<>(upstreams.size());
     for (PlacedUpstream upstream : upstreams) {
-      if (upstream.near() && upstream.running() + 1 <= NEAR_FILL * upstream.limit()) {
+      boolean room = upstream.running() + 1 <= NEAR_FILL * upstream.limit();
+      if (upstream.near() && room && upstream.failureShare() <= NEAR_FAILURES) {
         near.add(upstream);
       }
     }
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/FailureShareTest.java
@@ -0,0 +1,29 @@
+package io.hemlockbend.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class FailureShareTest {
+  private final FailureShare share = new FailureShare();
+
+  @Test
+  void followsTheLatestRequests() {
+    for (int i = 0; i < 100; i++) {
+      share.learn(i % 2 == 0, i);
+    }
+    assertThat(share.share(100)).isBetween(0.4, 0.6);
+    for (int i = 0; i < 100; i++) {
+      share.learn(false, 100 + i);
+    }
+    assertThat(share.share(200)).isLessThan(0.05);
+  }
+
+  @Test
+  void isForgottenWithTime() {
+    for (int i = 0; i < 100; i++) {
+      share.learn(true, i);
+    }
+    assertThat(share.share(10_100)).isLessThan(0.05);
+  }
+}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -267,7 +267,13 @@
         new Candidate(
             placed,
             new PlacedUpstream(
-                placed.node(), busy, load.limit(), load.serviceMillis(), near, crossing)));
+                placed.node(),
+                busy,
+                load.limit(),
+                load.serviceMillis(),
+                load.failureShare(),
+                near,
+                crossing)));
   }
 
   private ServiceName turn(TrafficRoute route) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -69,13 +69,15 @@
 
   static void writeLoad(MessageBufferPacker packer, UpstreamLoad load) throws IOException {
     packer.packInt(load.running()).packInt(load.queued()).packInt(load.limit());
-    packer.packDouble(load.serviceMillis());
+    packer.packDouble(load.serviceMillis()).packDouble(load.failureShare());
   }
 
   static UpstreamLoad readLoad(MessageUnpacker unpacker) throws IOException {
     int running = unpacker.unpackInt();
     int queued = unpacker.unpackInt();
-    return new UpstreamLoad(running, queued, unpacker.unpackInt(), unpacker.unpackDouble());
+    int limit = unpacker.unpackInt();
+    double serviceMillis = unpacker.unpackDouble();
+    return new UpstreamLoad(running, queued, limit, serviceMillis, unpacker.unpackDouble());
   }
 
   private static void writeRecord(MessageBufferPacker packer, UpstreamRecord record)
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/UpstreamLoad.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/UpstreamLoad.java
@@ -7,8 +7,10 @@
  * @param queued how many wait beside it
  * @param limit how many it may run at once now; 0 when it takes no work
  * @param serviceMillis how long a request usually takes, in milliseconds; 0 when not known
+ * @param failureShare the share of its latest requests that failed, 0 to 1
  */
-public record UpstreamLoad(int running, int queued, int limit, double serviceMillis) {
+public record UpstreamLoad(
+    int running, int queued, int limit, double serviceMillis, double failureShare) {
   /** The load of an upstream that takes no work. */
-  public static final UpstreamLoad CLOSED = new UpstreamLoad(0, 0, 0, 0);
+  public static final UpstreamLoad CLOSED = new UpstreamLoad(0, 0, 0, 0, 0);
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -16,6 +16,7 @@
 import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.StartId;
 import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.placement.FailureShare;
 import io.hemlockbend.core.traffic.ColdRate;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.http.FieldNames;
@@ -63,6 +64,7 @@
   private final ColdRate coldRate;
   private final CrashWatch crashes;
   private final RouteTally tally = new RouteTally();
+  private final FailureShare failures = new FailureShare();
   private final Map<Ticket, RunningCall> queued = new HashMap<>();
   private AdmissionController controller;
   private UpstreamRecord record;
@@ -101,6 +103,7 @@
     controller =
         new AdmissionController(settings, AdmissionGate.open(version), start, loop.millis());
     tally.clear();
+    failures.clear();
     pool.closeIdle();
   }
 
@@ -108,7 +111,12 @@
     long nowMillis = loop.millis();
     boolean coldFull = coldRate.cold(nowMillis) && coldRate.room(nowMillis) == 0;
     int limit = coldFull ? 0 : controller.currentLimit();
-    return new UpstreamLoad(controller.inFlight(), controller.queued(), limit, serviceMillis);
+    return new UpstreamLoad(
+        controller.inFlight(),
+        controller.queued(),
+        limit,
+        serviceMillis,
+        failures.share(nowMillis));
   }
 
   int running() {
@@ -183,6 +191,7 @@
   private void timedOut(RunningCall call) {
     call.call.cancel();
     crashes.answered(call.admission.id());
+    learn(call, true, loop.millis() - call.sentMillis);
     release(call, RunOutcome.TIMED_OUT);
     call.end(new RunEnd.Lost("no answer by the deadline"));
   }
@@ -216,6 +225,14 @@
     }
   }
 
+  private void learn(RunningCall call, boolean failed, long took) {
+    tally.add(new RouteName(call.run.route()), failed, took);
+    failures.learn(failed, loop.millis());
+    if (!failed) {
+      serviceMillis += serviceMillis == 0 ? took : SERVICE_WEIGHT * (took - serviceMillis);
+    }
+  }
+
   private void apply(AdmissionChanges changes) {
     changes.dropped().forEach(this::drop);
     for (Grant grant : changes.granted()) {
@@ -258,7 +275,7 @@
         return;
       }
       boolean failed = HttpStatus.isServerError(reply.status());
-      learn(failed, took);
+      learn(call, failed, took);
       release(call, failed ? RunOutcome.FAILED : RunOutcome.ANSWERED);
       call.end(
           reply.field(names.seal()) != null
@@ -276,18 +293,11 @@
 
     @Override
     public void lost(String reason) {
-      learn(true, loop.millis() - call.sentMillis);
+      learn(call, true, loop.millis() - call.sentMillis);
       crashes.broken(call.admission.id());
       release(call, RunOutcome.BROKEN);
       call.end(new RunEnd.Lost(reason));
       observer.brokeOff(reason);
     }
-
-    private void learn(boolean failed, long took) {
-      tally.add(new RouteName(call.run.route()), failed, took);
-      if (!failed) {
-        serviceMillis += serviceMillis == 0 ? took : SERVICE_WEIGHT * (took - serviceMillis);
-      }
-    }
   }
 }
