End a late request once

Found by reading: when a request's time was over, taking it back from this node's own upstream told the entry that it was lost, which ended it a second time. The count of open requests went below zero, so that a stopping node could leave while others were under way. The test was seen failing first.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -27,11 +27,11 @@
   private final long deadlineMillis;
   private final Set<NodeId> refusedBy = new HashSet<>();
   private final Set<NodeId> ranOn = new HashSet<>();
+  private final StringBuilder tries = new StringBuilder();
   private final Timer deadline;
   private HttpReply failure;
   private Runnable takeBack;
   private String lastRefusal = NONE;
-  private final StringBuilder tries = new StringBuilder();
   private int placements;
   private int sends;
   private boolean late;
@@ -181,6 +181,7 @@
     if (over) {
       return;
     }
+    over = true;
     if (takeBack != null) {
       takeBack.run();
     }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -9,6 +9,7 @@
 import io.hemlockbend.proxy.RawServer;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -88,6 +89,22 @@
     assertThat(MeshFixture.get(second, "/a/", "again")).startsWith("HTTP/1.1 200");
   }
 
+  @Test
+  void lateRequestEndsOnce() throws Exception {
+    MeshFixture.Member first =
+        mesh.add(
+            "tunis",
+            socket -> {
+              RawServer.readRequestId(socket);
+              RawServer.readRequestId(socket);
+            });
+    first.announce(false, 0);
+    assertThat(MeshFixture.get(first, "/a/", "slow")).startsWith("HTTP/1.1 504");
+    assertThat(first.ask(() -> first.node.entry().open())).isZero();
+    assertThat(first.ask(() -> first.node.entry().counters().byStatus()))
+        .containsOnly(Map.entry(504, 1L));
+  }
+
   @Test
   void cancelsTheRunOfCallerThatLeft() throws Exception {
     AtomicBoolean cancelled = new AtomicBoolean();
