Give cold upstreams the platform's allowance, calls of running requests first; ask no full upstream

Change: the bounds cold-over and cold-slack are read and used to 95%; a cold upstream's requests are spread over the second and wait in order of how long they can wait, some room is kept for those that cannot; an entry does not offer a request to an upstream that said within 150 ms that it would refuse it, and refuses at once when all are full.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -2,7 +2,9 @@
 
 import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.StartId;
+import io.hemlockbend.core.placement.WaitingKind;
 import io.hemlockbend.core.quarantine.Standing;
+import io.hemlockbend.core.traffic.ColdRate;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -24,12 +26,19 @@
  * requests whose callers still wait.
  */
 public final class AdmissionController {
+  /** How much room at a cold upstream is kept for requests that cannot wait. */
+  private static final int KEPT_ROOM = 4;
+
+  /** A request that can wait for this many others at a cold upstream leaves that room to them. */
+  private static final int PATIENT_REQUESTS = 3;
+
   private final AdmissionSettings settings;
   private final ServiceTimes times = new ServiceTimes();
   private final WaitQueue queue = new WaitQueue();
   private final Set<Long> running = new HashSet<>();
   private final Deque<Long> lingerUntilMillis = new ArrayDeque<>();
   private final ConcurrencyLimit limit;
+  private final ColdRate coldRate;
   private AdmissionGate gate;
   private StartId start;
   private boolean aloneRuns;
@@ -45,7 +54,26 @@
    */
   public AdmissionController(
       AdmissionSettings settings, AdmissionGate gate, StartId start, long nowMillis) {
+    this(settings, gate, start, ColdRate.unbounded(), nowMillis);
+  }
+
+  /**
+   * Makes the controller of an upstream that tells how long it is cold.
+   *
+   * @param settings the bounds
+   * @param gate what is known of the upstream
+   * @param start which start of the upstream's process this is
+   * @param coldRate bounds the requests that it gets while it is cold; may outlive the controller
+   * @param nowMillis the time
+   */
+  public AdmissionController(
+      AdmissionSettings settings,
+      AdmissionGate gate,
+      StartId start,
+      ColdRate coldRate,
+      long nowMillis) {
     this.settings = settings;
+    this.coldRate = coldRate;
     this.gate = gate;
     this.start = start;
     this.limit = new ConcurrencyLimit(settings, nowMillis);
@@ -63,13 +91,14 @@
       return new AdmissionDecision.Refused(RefusalReason.QUARANTINED);
     }
     endLingering(nowMillis);
-    if (nowMillis + expectedMillis(request) > request.deadlineMillis()) {
+    if (nowMillis + expectedMillis(request, nowMillis) > request.deadlineMillis()) {
       return new AdmissionDecision.Refused(RefusalReason.DEADLINE);
     }
-    if (queue.ahead(request.priority()) == 0 && fits(request)) {
-      return new AdmissionDecision.Admitted(start(request));
+    long patienceMillis = patience(request, nowMillis);
+    if (queue.ahead(request, patienceMillis) == 0 && fits(request, patienceMillis, nowMillis)) {
+      return new AdmissionDecision.Admitted(start(request, nowMillis));
     }
-    return enqueue(request);
+    return enqueue(request, nowMillis);
   }
 
   /**
@@ -157,6 +186,27 @@
     limit.fallBack(nowMillis);
   }
 
+  /**
+   * Returns after how long {@link #expire} can let a queued request in though none ends; 0 when
+   * only the end of a request can.
+   */
+  public long paceMillis(long nowMillis) {
+    WaitQueue.Waiting next = queue.first();
+    return next == null
+        ? 0
+        : coldRate.waitMillis(needed(next.patienceMillis(), nowMillis), nowMillis);
+  }
+
+  /**
+   * Returns how many requests the upstream may run at once now; while it is cold, how many run at
+   * the rate that it bears.
+   */
+  public int currentLimit(long nowMillis) {
+    double gap = coldRate.gapMillis(nowMillis);
+    int slots = currentLimit();
+    return gap == 0 ? slots : Math.clamp(Math.round(times.expectedMillis() / gap), 1, slots);
+  }
+
   /** Returns how many requests the upstream may run at once now. */
   public int currentLimit() {
     return Math.max(1, (int) (limit.limit() * gate.restoreShare()));
@@ -172,17 +222,23 @@
     return queue.size();
   }
 
-  private AdmissionDecision enqueue(AdmissionRequest request) {
+  /** Returns how many requests wait as a kind. */
+  public int queued(WaitingKind kind) {
+    return queue.count(kind);
+  }
+
+  private AdmissionDecision enqueue(AdmissionRequest request, long nowMillis) {
+    Ticket ticket = new Ticket(++lastNumber);
+    WaitQueue.Waiting news = new WaitQueue.Waiting(ticket, request, patience(request, nowMillis));
     List<Dropped> shed = new ArrayList<>(1);
     if (queue.size() >= settings.queueLength()) {
-      WaitQueue.Waiting victim = queue.shedBelow(request.priority());
+      WaitQueue.Waiting victim = queue.shedBehind(news);
       if (victim == null) {
         return new AdmissionDecision.Refused(RefusalReason.QUEUE_FULL);
       }
       shed.add(new Dropped(victim.ticket(), RefusalReason.QUEUE_FULL));
     }
-    Ticket ticket = new Ticket(++lastNumber);
-    queue.add(new WaitQueue.Waiting(ticket, request));
+    queue.add(news);
     return new AdmissionDecision.Queued(ticket, shed);
   }
 
@@ -194,27 +250,43 @@
     }
     List<Grant> granted = new ArrayList<>(1);
     List<Dropped> dropped = new ArrayList<>(0);
-    while (next != null && (late(next.request(), nowMillis) || fits(next.request()))) {
+    while (next != null
+        && (late(next.request(), nowMillis)
+            || fits(next.request(), next.patienceMillis(), nowMillis))) {
       queue.removeFirst();
       if (late(next.request(), nowMillis)) {
         dropped.add(new Dropped(next.ticket(), RefusalReason.DEADLINE));
       } else {
-        granted.add(new Grant(next.ticket(), start(next.request())));
+        granted.add(new Grant(next.ticket(), start(next.request(), nowMillis)));
       }
       next = queue.first();
     }
     return new AdmissionChanges(granted, dropped);
   }
 
-  private boolean fits(AdmissionRequest request) {
+  private boolean fits(AdmissionRequest request, long patienceMillis, long nowMillis) {
     int taken = running.size() + lingerUntilMillis.size();
-    if (aloneRuns || taken >= settings.slots()) {
+    boolean room = coldRate.room(nowMillis) >= needed(patienceMillis, nowMillis);
+    if (aloneRuns || taken >= settings.slots() || !room) {
       return false;
     }
     return request.alone() ? taken == 0 : running.size() < currentLimit();
   }
 
-  private Permit start(AdmissionRequest request) {
+  /** Returns how much room a cold upstream must have for a request to be let in. */
+  private int needed(long patienceMillis, long nowMillis) {
+    boolean patient = patienceMillis > PATIENT_REQUESTS * coldRate.gapMillis(nowMillis);
+    return patient ? 1 + KEPT_ROOM : 1;
+  }
+
+  /** Returns how long a request can wait and still be answered in time. */
+  private long patience(AdmissionRequest request, long nowMillis) {
+    double service = times.expectedMillis(request.route());
+    return (long) (request.deadlineMillis() - nowMillis - service);
+  }
+
+  private Permit start(AdmissionRequest request, long nowMillis) {
+    coldRate.sent(nowMillis);
     Permit permit = new Permit(++lastNumber, request.route(), request.alone());
     running.add(permit.number());
     aloneRuns |= request.alone();
@@ -226,14 +298,25 @@
     return nowMillis + times.expectedMillis(request.route()) > request.deadlineMillis();
   }
 
-  /** Returns the wait that the queue ahead makes, by Little's law, and the service time. */
-  private double expectedMillis(AdmissionRequest request) {
+  /**
+   * Returns the wait that the queue ahead makes, by Little's law or by the rate that a cold
+   * upstream bears, and the service time.
+   */
+  private double expectedMillis(AdmissionRequest request, long nowMillis) {
     double service = times.expectedMillis(request.route());
-    int ahead = queue.ahead(request.priority());
-    if (ahead == 0 && fits(request)) {
+    long patienceMillis = patience(request, nowMillis);
+    int ahead = queue.ahead(request, patienceMillis);
+    if (ahead == 0 && fits(request, patienceMillis, nowMillis)) {
       return service;
     }
-    return service + (ahead + 1) * times.expectedMillis() / currentLimit();
+    double bySlots = (ahead + 1) * times.expectedMillis() / currentLimit();
+    double gap = coldRate.gapMillis(nowMillis);
+    if (gap == 0) {
+      return service + bySlots;
+    }
+    int needed = needed(patienceMillis, nowMillis);
+    double byRate = coldRate.waitMillis(needed, nowMillis) + ahead * gap;
+    return service + (running.size() < currentLimit() ? byRate : Math.max(byRate, bySlots));
   }
 
   private void endLingering(long nowMillis) {
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/ColdOverloadTest.java
@@ -0,0 +1,134 @@
+package io.hemlockbend.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.Priority;
+import io.hemlockbend.core.api.RequestId;
+import io.hemlockbend.core.api.RouteName;
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.StartId;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.quarantine.Standing;
+import io.hemlockbend.core.traffic.ColdAllowance;
+import io.hemlockbend.core.traffic.ColdRate;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays the seconds after a loss of all power: a cold upstream is asked by new requests and by
+ * the calls of runs that are under way elsewhere, twice as many as it bears. A call that is refused
+ * wastes its run, so that nearly all calls must be served, and new requests get what is left.
+ */
+class ColdOverloadTest {
+  private static final VersionKey VERSION =
+      new VersionKey(new ServiceName("orders"), new VersionName("v1"));
+  private static final long SEED = 7;
+  private static final int END_MILLIS = 3_000;
+  private static final double STATED_PER_SECOND = 32;
+  private static final ColdAllowance ALLOWANCE = new ColdAllowance(1.5, 5);
+
+  private enum Kind {
+    CALL(60, 30, 30),
+    NEW(250, 150, 60);
+
+    private final long waitsMillis;
+    private final long serviceMillis;
+    private final double perSecond;
+
+    Kind(long waitsMillis, long serviceMillis, double perSecond) {
+      this.waitsMillis = waitsMillis;
+      this.serviceMillis = serviceMillis;
+      this.perSecond = perSecond;
+    }
+  }
+
+  private record Running(Permit permit, Kind kind) {}
+
+  private final ColdRate coldRate = new ColdRate(ALLOWANCE);
+  private final AdmissionController controller =
+      new AdmissionController(
+          new AdmissionSettings(9, 9, 27, 500, 0),
+          AdmissionGate.open(VERSION),
+          new StartId("1"),
+          coldRate,
+          0);
+  private final Map<Ticket, Kind> waiting = new HashMap<>();
+  private final Map<Long, List<Running>> ends = new HashMap<>();
+  private final Map<Kind, Integer> asked = new EnumMap<>(Kind.class);
+  private final Map<Kind, Integer> served = new EnumMap<>(Kind.class);
+  private final List<Long> sentMillis = new ArrayList<>();
+
+  @Test
+  void callsOfRunsUnderWayGoFirstAndTheRateIsUsed() {
+    coldRate.perSecond(STATED_PER_SECOND);
+    coldRate.coldFor(END_MILLIS, 0);
+    SplittableRandom random = new SplittableRandom(SEED);
+    for (long now = 0; now < END_MILLIS; now++) {
+      finish(now);
+      take(controller.expire(now), now);
+      for (Kind kind : Kind.values()) {
+        if (random.nextDouble() < kind.perSecond / 1_000) {
+          offer(kind, now);
+        }
+      }
+    }
+    assertThat((double) served.get(Kind.CALL) / asked.get(Kind.CALL)).isGreaterThan(0.95);
+    double allowed = ALLOWANCE.perSecond(STATED_PER_SECOND);
+    assertThat(sentMillis.size()).isGreaterThan((int) (0.8 * allowed * END_MILLIS / 1_000));
+    for (long from : sentMillis) {
+      long inSecond = sentMillis.stream().filter(at -> at >= from && at < from + 1_000).count();
+      assertThat(inSecond).isLessThanOrEqualTo((long) allowed);
+    }
+  }
+
+  private void offer(Kind kind, long now) {
+    asked.merge(kind, 1, Integer::sum);
+    AdmissionRequest request =
+        new AdmissionRequest(
+            new RequestId("r"),
+            new RouteName(kind.name()),
+            VERSION,
+            Priority.NORMAL,
+            now + kind.waitsMillis,
+            Standing.CLEAR);
+    switch (controller.offer(request, now)) {
+      case AdmissionDecision.Admitted admitted -> start(admitted.permit(), kind, now);
+      case AdmissionDecision.Queued queued -> {
+        waiting.put(queued.ticket(), kind);
+        queued.shed().forEach(dropped -> waiting.remove(dropped.ticket()));
+      }
+      case AdmissionDecision.Refused ignored -> {}
+    }
+  }
+
+  private void start(Permit permit, Kind kind, long now) {
+    sentMillis.add(now);
+    served.merge(kind, 1, Integer::sum);
+    ends.computeIfAbsent(now + kind.serviceMillis, at -> new ArrayList<>())
+        .add(new Running(permit, kind));
+  }
+
+  private void finish(long now) {
+    List<Running> due = ends.remove(now);
+    if (due != null) {
+      for (Running run : due) {
+        take(
+            controller.release(run.permit(), RunOutcome.ANSWERED, run.kind().serviceMillis, now),
+            now);
+      }
+    }
+  }
+
+  private void take(AdmissionChanges changes, long now) {
+    changes.dropped().forEach(dropped -> waiting.remove(dropped.ticket()));
+    for (Grant grant : changes.granted()) {
+      start(grant.permit(), waiting.remove(grant.ticket()), now);
+    }
+  }
+}
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/PlacedUpstreamTest.java
@@ -0,0 +1,47 @@
+package io.hemlockbend.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.NodeId;
+import org.junit.jupiter.api.Test;
+
+class PlacedUpstreamTest {
+  private static final int SLOTS = 9;
+  private static final int LONGEST_QUEUE = 27;
+  private static final double SERVICE_MILLIS = 90;
+
+  @Test
+  void isNotFullWhileSlotsAreFreeHoweverSlowItIs() {
+    assertThat(upstream(SLOTS - 1, 0, 0).full(WaitingKind.PATIENT, 1)).isFalse();
+  }
+
+  @Test
+  void isFullForRequestsThatWouldBeLate() {
+    PlacedUpstream busy = upstream(SLOTS + 8, 8, 0);
+    assertThat(busy.waitMillis(WaitingKind.PATIENT)).isEqualTo(90);
+    assertThat(busy.full(WaitingKind.PATIENT, 181)).isFalse();
+    assertThat(busy.full(WaitingKind.PATIENT, 179)).isTrue();
+  }
+
+  /** Requests in time go before late ones, however many of these wait. */
+  @Test
+  void lateRequestsFillItForLateOnesOnly() {
+    PlacedUpstream busy = upstream(SLOTS + LONGEST_QUEUE, 0, LONGEST_QUEUE);
+    assertThat(busy.full(WaitingKind.LATE, 10_000)).isTrue();
+    assertThat(busy.full(WaitingKind.PATIENT, 200)).isFalse();
+  }
+
+  /** The calls that running requests make are asked for, also while new requests wait. */
+  @Test
+  void patientRequestsDoNotFillItForHurriedOnes() {
+    PlacedUpstream busy = upstream(SLOTS + LONGEST_QUEUE, LONGEST_QUEUE, 0);
+    assertThat(busy.kind(120)).isEqualTo(WaitingKind.HURRIED);
+    assertThat(busy.full(WaitingKind.HURRIED, 120)).isFalse();
+    assertThat(busy.full(WaitingKind.PATIENT, 10_000)).isTrue();
+  }
+
+  private static PlacedUpstream upstream(int running, int patient, int late) {
+    return new PlacedUpstream(
+        new NodeId("n1"), running, patient, late, SLOTS, LONGEST_QUEUE, SERVICE_MILLIS, 0, true, 0);
+  }
+}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.placement.PlacedUpstream;
 import io.hemlockbend.core.placement.UpstreamChooser;
 import io.hemlockbend.core.placement.VersionGroup;
+import io.hemlockbend.core.placement.WaitingKind;
 import io.hemlockbend.core.placement.WeightedTurns;
 import io.hemlockbend.core.traffic.TrafficConfiguration;
 import io.hemlockbend.core.traffic.TrafficRoute;
@@ -22,6 +23,7 @@
 import io.hemlockbend.proxy.peer.RunRequest;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
 import io.hemlockbend.proxy.upstream.LocalUpstream;
+import io.hemlockbend.proxy.upstream.UpstreamRuns;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -40,6 +42,10 @@
   private static final double CROSS_DOMAIN_MILLIS = 4;
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
   private static final int PERMILLE = 1000;
+
+  /** For how long the load that another node told is taken as its load of now. */
+  private static final long LOAD_FRESH_MILLIS = 150;
+
   private static final int MAX_TURN_OFFSET = 64;
   private static final int MAX_TURNS = 10_000;
 
@@ -154,7 +160,11 @@
       candidates = candidates(call, VersionGroup.CURRENT);
     }
     List<PlacedUpstream> choices = new ArrayList<>(candidates.size());
-    candidates.forEach(candidate -> choices.add(candidate.choice()));
+    for (Candidate candidate : candidates) {
+      if (!knownFull(call, candidate)) {
+        choices.add(candidate.choice());
+      }
+    }
     Optional<PlacedUpstream> chosen = chooser.choose(choices);
     if (chosen.isEmpty()) {
       return null;
@@ -269,13 +279,27 @@
             new PlacedUpstream(
                 placed.node(),
                 busy,
+                load.patient(),
+                load.late(),
                 load.limit(),
+                upstream.slots() * UpstreamRuns.QUEUE_PER_SLOT,
                 load.serviceMillis(),
                 load.failureShare(),
                 near,
                 crossing)));
   }
 
+  /**
+   * Returns whether the node beside an upstream would refuse a request, by what it told just now.
+   */
+  private boolean knownFull(EntryCall call, Candidate candidate) {
+    Peer peer = candidate.placed().peer();
+    boolean told = peer == null || loop.millis() - peer.loadMillis <= LOAD_FRESH_MILLIS;
+    double left = call.late() ? call.remainingMillis() : call.targetLeftMillis();
+    PlacedUpstream choice = candidate.choice();
+    return told && choice.full(call.late() ? WaitingKind.LATE : choice.kind(left), left);
+  }
+
   private ServiceName turn(TrafficRoute route) {
     if (route.services().size() == 1) {
       return route.services().get(0).service();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -19,6 +19,7 @@
   private static final long NONE_RETRY_MILLIS = 150;
 
   private static final String NONE = "no upstream";
+  private static final String ALL_FULL = "all upstreams full";
 
   private final Entry entry;
   private final Exchange exchange;
@@ -48,7 +49,7 @@
     this.route = route;
     this.service = service;
     this.deadlineMillis = deadlineMillis;
-    this.deadline = entry.loop().after(deadlineMillis - entry.loop().millis(), this::late);
+    this.deadline = entry.loop().after(deadlineMillis - entry.loop().millis(), this::expired);
     exchange.onAbandoned(this::abandoned);
   }
 
@@ -79,6 +80,11 @@
     return late ? 0 : Math.max(0, target - entry.loop().millis());
   }
 
+  /** Returns whether it is offered as late. */
+  boolean late() {
+    return late;
+  }
+
   boolean excluded(NodeId node) {
     return refusedBy.contains(node) || ranOn.contains(node);
   }
@@ -89,13 +95,15 @@
    */
   void place() {
     Placed placed = placements < MAX_PLACEMENTS ? entry.choose(this) : null;
-    if (placed == null && placements > 0 && !late && remainingMillis() > 0) {
+    boolean usable = placed == null && entry.hasCandidate(this);
+    if (placed == null && !late && remainingMillis() > 0 && (usable || placements > 0)) {
       late = true;
       placements = 0;
       refusedBy.clear();
       placed = entry.choose(this);
     }
     if (placed == null) {
+      lastRefusal = usable && lastRefusal.equals(NONE) ? ALL_FULL : lastRefusal;
       refuse(lastRefusal, lastRefusal.equals(NONE) ? NONE_RETRY_MILLIS : FULL_RETRY_MILLIS);
       return;
     }
@@ -177,7 +185,7 @@
     finish(reply, EntryOutcome.REFUSED, reason, null);
   }
 
-  private void late() {
+  private void expired() {
     if (over) {
       return;
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -81,6 +81,7 @@
             loop,
             settings.upstream(),
             settings.names(),
+            settings.cold(),
             sink,
             crashes,
             this::announceSoon,
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.proxy.http.FieldNames;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import java.net.InetSocketAddress;
@@ -14,6 +15,7 @@
  * @param upstream the address of the upstream beside it
  * @param names the header fields with a meaning
  * @param entry bounds of the node as an entry
+ * @param cold how far the rate of cold upstreams may be exceeded
  * @param graceMillis how long a stop may take
  */
 public record MeshSettings(
@@ -23,4 +25,5 @@
     InetSocketAddress upstream,
     FieldNames names,
     EntrySettings entry,
+    ColdAllowance cold,
     long graceMillis) {}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -18,6 +18,7 @@
   NodeReport report;
   UpstreamLoad load = UpstreamLoad.CLOSED;
   long reportMillis;
+  long loadMillis;
   long dialedMillis;
   long failedDials;
   long pingedMillis;
@@ -36,8 +37,9 @@
     return othersThen + runs.size();
   }
 
-  void load(UpstreamLoad news) {
+  void load(UpstreamLoad news, long nowMillis) {
     load = news;
+    loadMillis = nowMillis;
     outstandingAtLoad = runs.size();
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -278,7 +278,7 @@
         case NodeMessage.Report report -> reported(report);
         case NodeMessage.Ended ended -> {
           Consumer<RunEnd> listener = peer.ended(ended.stream());
-          peer.load(ended.load());
+          peer.load(ended.load(), loop.millis());
           if (listener != null) {
             listener.accept(ended.end());
           }
@@ -293,7 +293,7 @@
     private void reported(NodeMessage.Report news) {
       long nowMillis = loop.millis();
       peer.report = news.report();
-      peer.load(news.report().load());
+      peer.load(news.report().load(), nowMillis);
       if (news.pingMillis() > 0) {
         peer.reportMillis = nowMillis;
         peer.roundTripMillis = nowMillis - news.pingMillis();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -68,16 +68,20 @@
   }
 
   static void writeLoad(MessageBufferPacker packer, UpstreamLoad load) throws IOException {
-    packer.packInt(load.running()).packInt(load.queued()).packInt(load.limit());
+    packer.packInt(load.running()).packInt(load.queued());
+    packer.packInt(load.patient()).packInt(load.late()).packInt(load.limit());
     packer.packDouble(load.serviceMillis()).packDouble(load.failureShare());
   }
 
   static UpstreamLoad readLoad(MessageUnpacker unpacker) throws IOException {
     int running = unpacker.unpackInt();
     int queued = unpacker.unpackInt();
+    int patient = unpacker.unpackInt();
+    int late = unpacker.unpackInt();
     int limit = unpacker.unpackInt();
     double serviceMillis = unpacker.unpackDouble();
-    return new UpstreamLoad(running, queued, limit, serviceMillis, unpacker.unpackDouble());
+    return new UpstreamLoad(
+        running, queued, patient, late, limit, serviceMillis, unpacker.unpackDouble());
   }
 
   private static void writeRecord(MessageBufferPacker packer, UpstreamRecord record)
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.upstream;
 
 import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.core.traffic.ColdRate;
 import io.hemlockbend.core.traffic.TrafficService;
 import io.hemlockbend.core.traffic.UpstreamRecord;
@@ -34,7 +35,7 @@
   private final CrashWatch crashes;
   private final Runnable changed;
   private final Consumer<UpstreamRecord> began;
-  private final ColdRate coldRate = new ColdRate(Double.MAX_VALUE);
+  private final ColdRate coldRate;
   private UpstreamRecord record;
   private UpstreamState state = UpstreamState.UNKNOWN;
   private String healthPath = "/health";
@@ -48,6 +49,7 @@
    * @param loop the event loop
    * @param address the upstream's address
    * @param names the header fields with a meaning
+   * @param cold how far the rate of cold upstreams may be exceeded
    * @param sink takes note of decisions
    * @param crashes finds requests that crash upstreams
    * @param changed hears that the upstream's record or state changed
@@ -57,11 +59,13 @@
       EventLoop loop,
       InetSocketAddress address,
       FieldNames names,
+      ColdAllowance cold,
       DecisionSink sink,
       CrashWatch crashes,
       Runnable changed,
       Consumer<UpstreamRecord> began) {
     this.loop = loop;
+    this.coldRate = new ColdRate(cold);
     this.sink = sink;
     this.crashes = crashes;
     this.changed = changed;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -17,6 +17,7 @@
 import io.hemlockbend.core.api.StartId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.placement.FailureShare;
+import io.hemlockbend.core.placement.WaitingKind;
 import io.hemlockbend.core.traffic.ColdRate;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.http.FieldNames;
@@ -36,8 +37,10 @@
  * The requests that run on the upstream or wait for it. All requests to the upstream pass here, so
  * that its slots and its cold rate are kept exactly.
  */
-final class UpstreamRuns {
-  private static final int QUEUE_PER_SLOT = 3;
+public final class UpstreamRuns {
+  /** How many requests wait at most for each slot. */
+  public static final int QUEUE_PER_SLOT = 3;
+
   private static final long LINGER_MILLIS = 60;
   private static final long FRESH_IDLE_MILLIS = 1_000;
   private static final double SERVICE_WEIGHT = 0.05;
@@ -69,6 +72,7 @@
   private AdmissionController controller;
   private UpstreamRecord record;
   private double serviceMillis;
+  private boolean pacePlanned;
 
   UpstreamRuns(
       EventLoop loop,
@@ -101,7 +105,8 @@
     VersionKey version = new VersionKey(news.service(), news.version());
     StartId start = new StartId(Long.toString(news.startedMillis()));
     controller =
-        new AdmissionController(settings, AdmissionGate.open(version), start, loop.millis());
+        new AdmissionController(
+            settings, AdmissionGate.open(version), start, coldRate, loop.millis());
     tally.clear();
     failures.clear();
     pool.closeIdle();
@@ -109,12 +114,12 @@
 
   UpstreamLoad load() {
     long nowMillis = loop.millis();
-    boolean coldFull = coldRate.cold(nowMillis) && coldRate.room(nowMillis) == 0;
-    int limit = coldFull ? 0 : controller.currentLimit();
     return new UpstreamLoad(
         controller.inFlight(),
         controller.queued(),
-        limit,
+        controller.queued(WaitingKind.PATIENT),
+        controller.queued(WaitingKind.LATE),
+        controller.currentLimit(nowMillis),
         serviceMillis,
         failures.share(nowMillis));
   }
@@ -134,10 +139,6 @@
       listener.accept(new RunEnd.NotRun("other-upstream"));
       return () -> {};
     }
-    if (coldRate.room(nowMillis) <= queued.size()) {
-      listener.accept(new RunEnd.NotRun("cold"));
-      return () -> {};
-    }
     RequestId fingerprint = Fingerprints.of(run.http(), names.callerService());
     if (crashes.quarantined(fingerprint)) {
       listener.accept(new RunEnd.NotRun(RefusalReason.QUARANTINED.word()));
@@ -152,6 +153,7 @@
         queued.put(waiting.ticket(), call);
         call.deadline = loop.after(admission.deadlineMillis() - nowMillis, this::expire);
         waiting.shed().forEach(this::drop);
+        planPace();
       }
       case AdmissionDecision.Refused refused ->
           call.end(new RunEnd.NotRun(refused.reason().word()));
@@ -171,13 +173,11 @@
   private void start(RunningCall call, Permit permit) {
     call.permit = permit;
     long nowMillis = loop.millis();
-    if (call.controller.recheck(call.admission, nowMillis).isPresent()
-        || coldRate.room(nowMillis) == 0) {
+    if (call.controller.recheck(call.admission, nowMillis).isPresent()) {
       release(call, RunOutcome.NOT_SENT);
       call.end(new RunEnd.NotRun("late"));
       return;
     }
-    coldRate.sent(nowMillis);
     crashes.started(call.admission.id());
     call.sentMillis = nowMillis;
     long leftMillis = call.deadlineMillis - nowMillis;
@@ -214,6 +214,21 @@
 
   private void expire() {
     apply(controller.expire(loop.millis()));
+    planPace();
+  }
+
+  /** Lets waiting requests in at the rate that a cold upstream bears. */
+  private void planPace() {
+    long waitMillis = controller.paceMillis(loop.millis());
+    if (waitMillis > 0 && !pacePlanned) {
+      pacePlanned = true;
+      loop.after(
+          waitMillis,
+          () -> {
+            pacePlanned = false;
+            expire();
+          });
+    }
   }
 
   private void release(RunningCall call, RunOutcome outcome) {
