Give a version that was taken back nothing while traffic moves to a third one

Ruled out: a share decided by two leaders (one leader, one decision), a late rollback (kept at once). ServiceVersionsTest fails in two cases without the check, as seen.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.placement.VersionGroup;
 import io.hemlockbend.proxy.peer.MoveOrder;
@@ -8,12 +9,15 @@
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Which versions of each service may get requests, and what share of them. A version under move
- * gets nothing until the node that leads the move has decided on a share.
+ * gets nothing until the node that leads the move has decided on a share. A version that was taken
+ * back gets nothing until another order names it, also while traffic moves to a third version.
  */
 public final class ServiceVersions {
   private static final int PERMILLE = 1000;
@@ -22,13 +26,16 @@
   private final Map<ServiceName, MoveShare> shares = new HashMap<>();
   private final Map<ServiceName, VersionName> firstSeen = new HashMap<>();
   private final Map<ServiceName, Integer> credit = new HashMap<>();
+  private final Set<VersionKey> takenBack = new HashSet<>();
 
   /** Takes in the operator's orders. */
   public void orders(OperatorOrders news) {
     Map<ServiceName, MoveOrder> before = new HashMap<>(orders);
     orders.clear();
+    takenBack.addAll(news.takenBack());
     for (MoveOrder move : news.moves()) {
       orders.put(move.service(), furthest(move, before.get(move.service())));
+      remember(orders.get(move.service()));
     }
     shares.values().removeIf(share -> !concerns(share, orders.get(share.service())));
   }
@@ -43,6 +50,7 @@
     shares.put(news.service(), news);
     if (news.state().compareTo(order.state()) > 0) {
       orders.put(news.service(), order.in(news.state()));
+      remember(orders.get(news.service()));
     }
     return true;
   }
@@ -78,15 +86,18 @@
   /** Returns what a version of a service may get. */
   public VersionGroup group(ServiceName service, VersionName version) {
     MoveOrder order = orders.get(service);
+    boolean ordered = order != null && order.to().equals(version);
+    if (!ordered && takenBack.contains(new VersionKey(service, version))) {
+      return VersionGroup.BLOCKED;
+    }
     if (order == null) {
       boolean first = firstSeen.getOrDefault(service, version).equals(version);
       return first ? VersionGroup.CURRENT : VersionGroup.BLOCKED;
     }
-    boolean target = order.to().equals(version);
     return switch (order.state()) {
-      case RUNNING -> target ? VersionGroup.FRESH : VersionGroup.CURRENT;
-      case COMPLETED -> target ? VersionGroup.CURRENT : VersionGroup.BLOCKED;
-      case ROLLED_BACK -> target ? VersionGroup.BLOCKED : VersionGroup.CURRENT;
+      case RUNNING -> ordered ? VersionGroup.FRESH : VersionGroup.CURRENT;
+      case COMPLETED -> ordered ? VersionGroup.CURRENT : VersionGroup.BLOCKED;
+      case ROLLED_BACK -> ordered ? VersionGroup.BLOCKED : VersionGroup.CURRENT;
     };
   }
 
@@ -108,6 +119,15 @@
     return share == null ? 0 : share.permille();
   }
 
+  private void remember(MoveOrder order) {
+    VersionKey version = new VersionKey(order.service(), order.to());
+    switch (order.state()) {
+      case ROLLED_BACK -> takenBack.add(version);
+      case COMPLETED -> takenBack.remove(version);
+      case RUNNING -> {}
+    }
+  }
+
   private static boolean concerns(MoveShare share, MoveOrder order) {
     return order != null && order.order() == share.order() && order.to().equals(share.to());
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/OrdersCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/OrdersCodec.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -27,6 +28,10 @@
       packer.packLong(move.order()).packLong(move.durationMillis());
       packer.packInt(move.state().ordinal());
     }
+    packer.packArrayHeader(orders.takenBack().size());
+    for (VersionKey version : orders.takenBack()) {
+      packer.packString(version.service().value()).packString(version.version().value());
+    }
   }
 
   static OperatorOrders read(MessageUnpacker unpacker) throws IOException {
@@ -46,6 +51,12 @@
       MoveOrder.State state = MoveOrder.State.values()[unpacker.unpackInt()];
       moves.add(new MoveOrder(service, to, order, duration, state));
     }
-    return new OperatorOrders(version, withdrawn, moves);
+    int bad = unpacker.unpackArrayHeader();
+    Set<VersionKey> takenBack = new HashSet<>();
+    for (int i = 0; i < bad; i++) {
+      ServiceName service = new ServiceName(unpacker.unpackString());
+      takenBack.add(new VersionKey(service, new VersionName(unpacker.unpackString())));
+    }
+    return new OperatorOrders(version, withdrawn, moves, takenBack);
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -119,7 +119,7 @@
     }
 
     void orders(long version, Set<FailureDomain> withdrawn) {
-      on(() -> node.takeOrders(new OperatorOrders(version, withdrawn, List.of())));
+      on(() -> node.takeOrders(new OperatorOrders(version, withdrawn, List.of(), Set.of())));
     }
   }
 
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
@@ -0,0 +1,62 @@
+package io.hemlockbend.proxy.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.VersionKey;
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.placement.VersionGroup;
+import io.hemlockbend.proxy.peer.MoveOrder;
+import io.hemlockbend.proxy.peer.MoveShare;
+import io.hemlockbend.proxy.peer.OperatorOrders;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ServiceVersionsTest {
+  private static final ServiceName SERVICE = new ServiceName("quotes");
+  private static final VersionName V1 = new VersionName("v1");
+  private static final VersionName V2 = new VersionName("v2");
+  private static final VersionName V3 = new VersionName("v3");
+
+  private final ServiceVersions versions = new ServiceVersions();
+
+  /** The upstreams of a bad version stay for some seconds, also when the next move begins. */
+  @Test
+  void versionTakenBackGetsNothingWhileTrafficMovesToThirdOne() {
+    order(1, V2, 1, MoveOrder.State.RUNNING);
+    versions.share(new MoveShare(SERVICE, V2, 1, 5, 0, 3_000, MoveOrder.State.ROLLED_BACK));
+    order(2, V3, 2, MoveOrder.State.RUNNING);
+    assertThat(versions.group(SERVICE, V1)).isEqualTo(VersionGroup.CURRENT);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
+    assertThat(versions.group(SERVICE, V3)).isEqualTo(VersionGroup.FRESH);
+  }
+
+  @Test
+  void nodeThatStartsAfterwardsKnowsItFromTheOrders() {
+    versions.orders(
+        new OperatorOrders(
+            7,
+            Set.of(),
+            List.of(new MoveOrder(SERVICE, V3, 7, 1_000, MoveOrder.State.RUNNING)),
+            Set.of(new VersionKey(SERVICE, V2))));
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
+    versions.orders(new OperatorOrders(8, Set.of(), List.of(), Set.of()));
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
+  }
+
+  @Test
+  void versionTakenBackMayBeTriedAgainByAnotherOrder() {
+    order(1, V2, 1, MoveOrder.State.ROLLED_BACK);
+    order(2, V2, 2, MoveOrder.State.RUNNING);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.FRESH);
+    order(3, V2, 2, MoveOrder.State.COMPLETED);
+    order(4, V3, 3, MoveOrder.State.RUNNING);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.CURRENT);
+  }
+
+  private void order(long version, VersionName to, long order, MoveOrder.State state) {
+    MoveOrder move = new MoveOrder(SERVICE, to, order, 16_000, state);
+    versions.orders(new OperatorOrders(version, Set.of(), List.of(move), Set.of()));
+  }
+}
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -58,7 +58,8 @@
             new OperatorOrders(
                 12,
                 Set.of(NODE.domain()),
-                List.of(new MoveOrder(QUOTES, V1, 11, 15_000, MoveOrder.State.COMPLETED)))));
+                List.of(new MoveOrder(QUOTES, V1, 11, 15_000, MoveOrder.State.COMPLETED)),
+                Set.of(new VersionKey(QUOTES, V1)))));
   }
 
   @ParameterizedTest
