Leave a link to a node that is not the one that was dialed

Change: a report names its node, and a link whose reports name another one than was dialed is left.

Ruled out: a frozen process (its requests were answered all the while, by the other node), a leader that was held up by the store. MeshNodeTest fails without the check: the node that is gone stays alive for the test's whole time.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -256,6 +256,7 @@
   @Override
   public NodeReport report() {
     return new NodeReport(
+        settings.self().node(),
         configuration == null ? -1 : configuration.version(),
         orders.version(),
         leaving,
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -285,7 +285,7 @@
     @Override
     public void received(PeerConnection connection, NodeMessage message) {
       switch (message) {
-        case NodeMessage.Report report -> reported(report);
+        case NodeMessage.Report report -> reported(connection, report);
         case NodeMessage.Ended ended -> {
           Consumer<RunEnd> listener = peer.ended(ended.stream());
           peer.load(ended.load(), loop.millis());
@@ -300,7 +300,12 @@
       }
     }
 
-    private void reported(NodeMessage.Report news) {
+    private void reported(PeerConnection connection, NodeMessage.Report news) {
+      if (!news.report().node().equals(peer.info.node())) {
+        // The instance ended and its address went to another node, which has an entry of its own.
+        connection.end(new IllegalStateException("is " + news.report().node()));
+        return;
+      }
       long nowMillis = loop.millis();
       peer.report = news.report();
       peer.load(news.report().load(), nowMillis);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeReport.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeReport.java
@@ -1,11 +1,13 @@
 package io.hemlockbend.proxy.peer;
 
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import java.util.List;
 
 /**
  * What a node tells the others about itself.
  *
+ * @param node the node that reports; not the one dialed where an address has passed to another
  * @param configurationVersion the configuration in force there; -1 without one
  * @param ordersVersion the operator's orders known there; -1 without any
  * @param leaving whether the node stops
@@ -16,6 +18,7 @@
  * @param moves the shares that it decided on or heard of
  */
 public record NodeReport(
+    NodeId node,
     long configurationVersion,
     long ordersVersion,
     boolean leaving,
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.peer;
 
 import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
@@ -17,6 +18,7 @@
   private ReportCodec() {}
 
   static void write(MessageBufferPacker packer, NodeReport report) throws IOException {
+    packer.packString(report.node().value());
     packer.packLong(report.configurationVersion()).packLong(report.ordersVersion());
     packer.packBoolean(report.leaving()).packBoolean(report.storeReachable());
     packer.packBoolean(report.upstream() != null);
@@ -38,6 +40,7 @@
   }
 
   static NodeReport read(MessageUnpacker unpacker) throws IOException {
+    NodeId node = new NodeId(unpacker.unpackString());
     long version = unpacker.unpackLong();
     long ordersVersion = unpacker.unpackLong();
     boolean leaving = unpacker.unpackBoolean();
@@ -64,7 +67,7 @@
       moves.add(new MoveShare(service, to, order, step, permille, elapsed, state));
     }
     return new NodeReport(
-        version, ordersVersion, leaving, storeReachable, record, load, counts, moves);
+        node, version, ordersVersion, leaving, storeReachable, record, load, counts, moves);
   }
 
   static void writeLoad(MessageBufferPacker packer, UpstreamLoad load) throws IOException {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -4,9 +4,11 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.FailureDomain;
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.RawServer;
+import io.hemlockbend.proxy.peer.NodeInfo;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
@@ -181,6 +183,21 @@
     await().atMost(WAIT).until(() -> first.ask(() -> first.node.orders().version()) == 5L);
   }
 
+  /** A node that counts twice, once by a name that is gone, would leave moves without a leader. */
+  @Test
+  void nodeThatTookOverAnAddressIsNotTakenForTheOneBefore() {
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second = mesh.add("sfax");
+    NodeInfo now = second.node.mesh().self();
+    NodeInfo before = new NodeInfo(new NodeId("n0"), now.ip(), now.port(), now.domain(), 1);
+    first.on(() -> first.node.mesh().learn(before));
+    await().atMost(WAIT).until(() -> first.ask(() -> first.node.mesh().alive(now.node())));
+    await()
+        .during(Duration.ofMillis(700))
+        .atMost(WAIT)
+        .until(() -> !first.ask(() -> first.node.mesh().alive(before.node())));
+  }
+
   @Test
   void restoredUpstreamIsUsedOnceItsHealthCheckAnswers() throws Exception {
     MeshFixture.Member first = mesh.add("tunis");
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -36,6 +36,7 @@
             new UpstreamId("i-1"), 5, QUOTES, V1, NODE.domain(), "10.0.0.1:80", 9, true, 250, 4);
     NodeReport report =
         new NodeReport(
+            NODE.node(),
             7,
             8,
             false,
