Serve the calls of running requests until their deadlines, and keep slots of cold upstreams for them

Their targets are 60 ms, cold upstreams need longer, and a call that missed its target went behind all new requests; the slots were held by runs that waited for their own calls.

Change: a request whose caller waits less than half as long as others of its service keeps its place until its deadline; a third of a cold upstream's slots is left to hurried requests while some come.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -29,6 +29,12 @@
   /** How much room at a cold upstream is kept for requests that cannot wait. */
   private static final int KEPT_ROOM = 4;
 
+  /** The part of a cold upstream's slots that is kept for hurried requests while some come. */
+  private static final double KEPT_SLOTS_SHARE = 1.0 / 3;
+
+  /** For how long after a hurried request more of them are expected. */
+  private static final long HURRIED_AGAIN_MILLIS = 1_000;
+
   /** A request that can wait for this many others at a cold upstream leaves that room to them. */
   private static final int PATIENT_REQUESTS = 3;
 
@@ -42,6 +48,7 @@
   private AdmissionGate gate;
   private StartId start;
   private boolean aloneRuns;
+  private long hurriedMillis = Long.MIN_VALUE / 2;
   private long lastNumber;
 
   /**
@@ -95,6 +102,9 @@
       return new AdmissionDecision.Refused(RefusalReason.DEADLINE);
     }
     long patienceMillis = patience(request, nowMillis);
+    if (WaitingKind.inTime(patienceMillis) == WaitingKind.HURRIED) {
+      hurriedMillis = nowMillis;
+    }
     if (queue.ahead(request, patienceMillis) == 0 && fits(request, patienceMillis, nowMillis)) {
       return new AdmissionDecision.Admitted(start(request, nowMillis));
     }
@@ -267,12 +277,25 @@
   private boolean fits(AdmissionRequest request, long patienceMillis, long nowMillis) {
     int taken = running.size() + lingerUntilMillis.size();
     boolean room = coldRate.room(nowMillis) >= needed(patienceMillis, nowMillis);
-    if (aloneRuns || taken >= settings.slots() || !room) {
+    if (aloneRuns || taken >= slotsFor(patienceMillis, nowMillis) || !room) {
       return false;
     }
     return request.alone() ? taken == 0 : running.size() < currentLimit();
   }
 
+  /**
+   * Returns how many slots a request may use. Runs at a cold upstream last long, as they wait for
+   * their own calls elsewhere, and would hold every slot that such calls need here.
+   */
+  private int slotsFor(long patienceMillis, long nowMillis) {
+    boolean kept =
+        coldRate.cold(nowMillis)
+            && nowMillis - hurriedMillis < HURRIED_AGAIN_MILLIS
+            && WaitingKind.inTime(patienceMillis) == WaitingKind.PATIENT;
+    int slots = settings.slots();
+    return kept ? Math.max(1, slots - (int) (slots * KEPT_SLOTS_SHARE)) : slots;
+  }
+
   /** Returns how much room a cold upstream must have for a request to be let in. */
   private int needed(long patienceMillis, long nowMillis) {
     boolean patient = patienceMillis > PATIENT_REQUESTS * coldRate.gapMillis(nowMillis);
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/ColdOverloadTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/ColdOverloadTest.java
@@ -32,10 +32,13 @@
   private static final int END_MILLIS = 3_000;
   private static final double STATED_PER_SECOND = 32;
   private static final ColdAllowance ALLOWANCE = new ColdAllowance(1.5, 5);
+  private static final double ALLOWED = ALLOWANCE.perSecond(STATED_PER_SECOND);
 
   private enum Kind {
     CALL(60, 30, 30),
-    NEW(250, 150, 60);
+    NEW(250, 150, 60),
+    /** Waits for its own calls elsewhere, which take long. */
+    LONG_RUN(600, 330, 60);
 
     private final long waitsMillis;
     private final long serviceMillis;
@@ -66,25 +69,44 @@
 
   @Test
   void callsOfRunsUnderWayGoFirstAndTheRateIsUsed() {
+    replay(Kind.CALL, Kind.NEW);
+    assertThat(servedCalls()).isGreaterThan(0.95);
+    assertThat(sentMillis.size()).isGreaterThan((int) (0.8 * ALLOWED * END_MILLIS / 1_000));
+    assertBounded();
+  }
+
+  /** The slots bind before the rate does. */
+  @Test
+  void longRunsLeaveSlotsToCalls() {
+    replay(Kind.CALL, Kind.LONG_RUN);
+    assertThat(servedCalls()).isGreaterThan(0.95);
+    assertBounded();
+  }
+
+  private double servedCalls() {
+    return (double) served.get(Kind.CALL) / asked.get(Kind.CALL);
+  }
+
+  private void assertBounded() {
+    for (long from : sentMillis) {
+      long inSecond = sentMillis.stream().filter(at -> at >= from && at < from + 1_000).count();
+      assertThat(inSecond).isLessThanOrEqualTo((long) ALLOWED);
+    }
+  }
+
+  private void replay(Kind... kinds) {
     coldRate.perSecond(STATED_PER_SECOND);
     coldRate.coldFor(END_MILLIS, 0);
     SplittableRandom random = new SplittableRandom(SEED);
     for (long now = 0; now < END_MILLIS; now++) {
       finish(now);
       take(controller.expire(now), now);
-      for (Kind kind : Kind.values()) {
+      for (Kind kind : kinds) {
         if (random.nextDouble() < kind.perSecond / 1_000) {
           offer(kind, now);
         }
       }
     }
-    assertThat((double) served.get(Kind.CALL) / asked.get(Kind.CALL)).isGreaterThan(0.95);
-    double allowed = ALLOWANCE.perSecond(STATED_PER_SECOND);
-    assertThat(sentMillis.size()).isGreaterThan((int) (0.8 * allowed * END_MILLIS / 1_000));
-    for (long from : sentMillis) {
-      long inSecond = sentMillis.stream().filter(at -> at >= from && at < from + 1_000).count();
-      assertThat(inSecond).isLessThanOrEqualTo((long) allowed);
-    }
   }
 
   private void offer(Kind kind, long now) {
--- /dev/null
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/admission/ShortLivedTest.java
@@ -0,0 +1,31 @@
+package io.hemlockbend.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ShortLivedTest {
+  private final ShortLived shortLived = new ShortLived();
+
+  @Test
+  void tellsCallsOfRunsFromNewRequests() {
+    for (long now = 0; now < 2_000; now += 20) {
+      assertThat(shortLived.check(1_500, now)).isFalse();
+      assertThat(shortLived.check(200, now + 5)).isTrue();
+    }
+  }
+
+  @Test
+  void takesAllForNewWhereAllWaitEquallyLong() {
+    for (long now = 0; now < 2_000; now += 20) {
+      assertThat(shortLived.check(200, now)).isFalse();
+    }
+  }
+
+  @Test
+  void forgetsLongWaitsThatCameOnce() {
+    shortLived.check(60_000, 0);
+    assertThat(shortLived.check(1_000, 10)).isTrue();
+    assertThat(shortLived.check(1_000, 60_000)).isFalse();
+  }
+}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.mesh;
 
+import io.hemlockbend.core.admission.ShortLived;
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.ServiceName;
@@ -61,6 +62,7 @@
   private final RandomGenerator random = new SplittableRandom();
   private final UpstreamChooser chooser = new UpstreamChooser(random);
   private final Map<String, WeightedTurns> turns = new HashMap<>();
+  private final Map<ServiceName, ShortLived> shortLived = new HashMap<>();
   private TrafficConfiguration configuration;
   private Set<FailureDomain> withdrawn = Set.of();
   private int open;
@@ -131,7 +133,12 @@
     ServiceName service = turn(route);
     budgets.called(service);
     open++;
-    new EntryCall(this, exchange, route, service, deadline(exchange, route)).place();
+    long deadlineMillis = deadline(exchange, route);
+    boolean isShort =
+        shortLived
+            .computeIfAbsent(service, name -> new ShortLived())
+            .check(deadlineMillis - loop.millis(), loop.millis());
+    new EntryCall(this, exchange, route, service, deadlineMillis, isShort).place();
   }
 
   EventLoop loop() {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -35,7 +35,8 @@
   private String lastRefusal = NONE;
   private int placements;
   private int sends;
-  private boolean late;
+  private final boolean shortLived;
+  private boolean missedTarget;
   private boolean over;
 
   EntryCall(
@@ -43,8 +44,10 @@
       Exchange exchange,
       TrafficRoute route,
       ServiceName service,
-      long deadlineMillis) {
+      long deadlineMillis,
+      boolean shortLived) {
     this.entry = entry;
+    this.shortLived = shortLived;
     this.exchange = exchange;
     this.route = route;
     this.service = service;
@@ -74,15 +77,21 @@
     return deadlineMillis - entry.loop().millis();
   }
 
-  /** Returns how long an answer still has its full value; 0 once the request is taken as late. */
+  /**
+   * Returns how long an answer still has its full value; 0 once the request is taken as late. An
+   * answer to the call of a run has its value until the run gives up.
+   */
   long targetLeftMillis() {
+    if (missedTarget) {
+      return shortLived ? Math.max(0, remainingMillis()) : 0;
+    }
     long target = exchange.receivedMillis() + route.targetMillis() - WAY_TO_CALLER_MILLIS;
-    return late ? 0 : Math.max(0, target - entry.loop().millis());
+    return Math.max(0, target - entry.loop().millis());
   }
 
-  /** Returns whether it is offered as late. */
+  /** Returns whether it is offered as late, behind all others. */
   boolean late() {
-    return late;
+    return missedTarget && !shortLived;
   }
 
   boolean excluded(NodeId node) {
@@ -91,13 +100,14 @@
 
   /**
    * Places the request on an upstream. When none can answer it in time for its full value, it is
-   * offered once more as late; when none takes it then, it is refused at once.
+   * offered once more as late, or until its deadline if it is the call of a run; when none takes it
+   * then, it is refused at once.
    */
   void place() {
     Placed placed = placements < MAX_PLACEMENTS ? entry.choose(this) : null;
     boolean usable = placed == null && entry.hasCandidate(this);
-    if (placed == null && !late && remainingMillis() > 0 && (usable || placements > 0)) {
-      late = true;
+    if (placed == null && !missedTarget && remainingMillis() > 0 && (usable || placements > 0)) {
+      missedTarget = true;
       placements = 0;
       refusedBy.clear();
       placed = entry.choose(this);
@@ -111,7 +121,7 @@
     sends++;
     int send = sends;
     NodeId node = placed.node();
-    tries.append(tries.isEmpty() ? "" : ",").append(node).append(late ? "(late)" : "");
+    tries.append(tries.isEmpty() ? "" : ",").append(node).append(missedTarget ? "(late)" : "");
     Runnable back = entry.run(this, placed, end -> ended(node, end));
     boolean ended = over || send != sends;
     if (!ended) {
