Give up a dial after two seconds

Cause: a node dials each instance that is gone every two seconds, and an unanswered dial was kept for sixty: thirty sockets for each such instance, 4,000 with 130 of them.

EventLoopTest fails with the sixty seconds. Ruled out: dials that answer late, the pauses between dials are 0.3 to 2 s.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -37,7 +37,9 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final int BACKLOG = 512;
   private static final long MAX_SELECT_MILLIS = 1_000;
-  private static final long CONNECT_TIMEOUT_MILLIS = 60_000;
+
+  /** Longer than any of the pauses after which a connection is tried again. */
+  private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
 
   /** Makes the connection of an end point that was opened. */
   @FunctionalInterface
