Forget a node whose address went to another one

The link was left at the first report that named another node, and dialed again 0.3 s later, for good. The node is forgotten now; the one at its address has an entry of its own. The test asks for the known nodes, which is more than it asked for before.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -303,6 +303,8 @@
     private void reported(PeerConnection connection, NodeMessage.Report news) {
       if (!news.report().node().equals(peer.info.node())) {
         // The instance ended and its address went to another node, which has an entry of its own.
+        peers.remove(peer.info.node());
+        sink.decided("node-replaced", null, "peer", peer.info.node(), "by", news.report().node());
         connection.end(new IllegalStateException("is " + news.report().node()));
         return;
       }
