Suspect no request that ran to its end before

Change: the latest 1,024 requests that an upstream answered without a failure are no suspects at its next crash. A request that crashes each upstream that runs it is never answered.

CrashWatchTest covers it; without the check the request is quarantined.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/CrashWatch.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/CrashWatch.java
@@ -7,7 +7,9 @@
 import io.hemlockbend.core.quarantine.CrashTracker;
 import io.hemlockbend.core.quarantine.QuarantineList;
 import io.hemlockbend.core.quarantine.Standing;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -16,9 +18,13 @@
  * all nodes' upstreams, and keeps them from running again.
  */
 public final class CrashWatch {
+  /** How many of the latest requests that were answered are remembered. */
+  private static final int MAX_PROVEN = 1_024;
+
   private final Clock clock;
   private final Consumer<List<Suspicion>> spread;
   private final QuarantineList list = new QuarantineList();
+  private final LinkedHashSet<RequestId> proven = new LinkedHashSet<>();
   private CrashTracker tracker;
 
   /**
@@ -56,13 +62,27 @@
     list.answeredAlone(fingerprint);
   }
 
+  /**
+   * Takes in that an upstream ran a request to its end. Callers that ask the same are many, and
+   * some of their requests are in flight at each crash; one that did not crash the upstream before
+   * is not the cause.
+   */
+  void proven(RequestId fingerprint) {
+    proven.addLast(fingerprint);
+    if (proven.size() > MAX_PROVEN) {
+      proven.removeFirst();
+    }
+  }
+
   void broken(RequestId fingerprint) {
     tracker.broken(fingerprint, clock.millis());
   }
 
   /** Takes in that the upstream crashed. */
   void crashed() {
-    List<Suspicion> reports = list.merge(tracker.crashed(list, clock.millis()), clock.millis());
+    List<Suspicion> suspects = new ArrayList<>(tracker.crashed(list, clock.millis()));
+    suspects.removeIf(suspect -> proven.contains(suspect.request()));
+    List<Suspicion> reports = list.merge(suspects, clock.millis());
     if (!reports.isEmpty()) {
       spread.accept(reports);
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -290,6 +290,9 @@
         return;
       }
       boolean failed = HttpStatus.isServerError(reply.status());
+      if (!failed) {
+        crashes.proven(call.admission.id());
+      }
       learn(call, failed, took);
       release(call, failed ? RunOutcome.FAILED : RunOutcome.ANSWERED);
       call.end(
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/CrashWatchTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/CrashWatchTest.java
@@ -38,6 +38,18 @@
     assertThat(spread).isEmpty();
   }
 
+  /** Two upstreams crash at the same time, and what many callers ask is in flight at both. */
+  @Test
+  void requestThatRanToItsEndBeforeIsNoSuspect() {
+    here.proven(INNOCENT);
+    there.proven(INNOCENT);
+    crash(here, "i-1", POISON, INNOCENT);
+    crash(there, "i-2", POISON, INNOCENT);
+    assertThat(here.quarantined(POISON)).isTrue();
+    assertThat(here.quarantined(INNOCENT)).isFalse();
+    assertThat(spread).extracting(Suspicion::request).containsOnly(POISON);
+  }
+
   @Test
   void sameRequestHasTheSameFingerprintWhateverItsId() {
     assertThat(fingerprint("1", "a", "x")).isEqualTo(fingerprint("2", "a", "x"));
