--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MoveLeaderTest.java
@@ -0,0 +1,91 @@
+package io.hemlockbend.proxy.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.proxy.peer.MoveOrder;
+import io.hemlockbend.proxy.peer.OperatorOrders;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class MoveLeaderTest {
+  private static final VersionName V2 = new VersionName("v2");
+  private static final long DURATION_MILLIS = 6_000;
+  private static final Duration WAIT = Duration.ofSeconds(30);
+
+  private final MeshFixture mesh = new MeshFixture();
+
+  @AfterEach
+  void close() throws Exception {
+    mesh.close();
+  }
+
+  @Test
+  void firstNodeByNameThatReachesTheStoreLeadsAndOnlyIt() {
+    MeshFixture.Member first = started(MeshFixture.V1);
+    MeshFixture.Member second = started(V2);
+    order(first, second);
+    await().atMost(WAIT).until(() -> first.kept.contains(order(MoveOrder.State.COMPLETED)));
+    assertThat(second.kept).isEmpty();
+  }
+
+  /** The order must be carried out though its leader is gone in the middle. */
+  @Test
+  void nextNodeGoesOnWhenTheLeaderIsGone() {
+    MeshFixture.Member first = started(MeshFixture.V1);
+    MeshFixture.Member second = started(MeshFixture.V1);
+    MeshFixture.Member third = started(V2);
+    order(first, second, third);
+    await().atMost(WAIT).until(() -> first.kept.contains(order(MoveOrder.State.RUNNING)));
+    first.loop.close();
+    await().atMost(WAIT).until(() -> second.kept.contains(order(MoveOrder.State.COMPLETED)));
+    assertThat(first.kept).doesNotContain(order(MoveOrder.State.COMPLETED));
+    assertThat(third.kept).isEmpty();
+  }
+
+  @Test
+  void nodeThatDoesNotReachTheStoreLeavesTheLead() {
+    MeshFixture.Member first = started(MeshFixture.V1);
+    MeshFixture.Member second = started(V2);
+    order(first, second);
+    await().atMost(WAIT).until(() -> !first.kept.isEmpty());
+    first.on(() -> first.node.takeStoreReachable(false));
+    await().atMost(WAIT).until(() -> second.kept.contains(order(MoveOrder.State.COMPLETED)));
+    assertThat(first.kept).doesNotContain(order(MoveOrder.State.COMPLETED));
+  }
+
+  private MeshFixture.Member started(VersionName version) {
+    MeshFixture.Member member = mesh.add("tunis");
+    member.announce(version);
+    member.on(() -> member.node.takeStoreReachable(true));
+    return member;
+  }
+
+  private void order(MeshFixture.Member... members) {
+    MeshFixture.Member last = members[members.length - 1];
+    for (MeshFixture.Member member : members) {
+      await()
+          .atMost(WAIT)
+          .until(
+              () ->
+                  member == last
+                      || member.ask(
+                          () -> member.node.mesh().alive(last.node.mesh().self().node())));
+    }
+    for (MeshFixture.Member member : members) {
+      member.on(
+          () ->
+              member.node.takeOrders(
+                  new OperatorOrders(
+                      3, Set.of(), List.of(order(MoveOrder.State.RUNNING)), Set.of())));
+    }
+  }
+
+  private static MoveOrder order(MoveOrder.State state) {
+    return new MoveOrder(MeshFixture.SERVICE, V2, 3, DURATION_MILLIS, state);
+  }
+}
