--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -27,7 +27,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.io.EndPoint;
@@ -37,7 +36,6 @@
  * feeds it with configurations, orders, nodes and the upstream's announcements.
  */
 public final class MeshNode implements PeerMesh.Owner {
-  private static final long BEHIND_MILLIS = 400;
   private static final long CHECK_MILLIS = 200;
 
   private final EventLoop loop;
@@ -51,12 +49,11 @@
   private final Entry entry;
   private final Set<HttpServerConnection> callers = new HashSet<>();
   private final MoveLeader moves;
-  private final SplittableRandom random = new SplittableRandom();
+  private final CatchUp catchUp;
   private TrafficConfiguration configuration;
   private byte[] document;
   private NodeMessage.Configuration packedDocument;
   private OperatorOrders orders = OperatorOrders.NONE;
-  private long behindSinceMillis;
   private boolean membersKnown;
   private boolean storeReachable;
   private boolean leaving;
@@ -103,6 +100,7 @@
             versions,
             settings.entry(),
             sink);
+    this.catchUp = new CatchUp(loop, mesh, this);
     this.moves = new MoveLeader(loop, mesh, this, versions, durable, sink);
   }
 
@@ -110,7 +108,7 @@
   public void listen() {
     loop.listen(settings.self().address(), mesh::accept);
     loop.listen(settings.callers(), this::acceptCaller);
-    loop.every(CHECK_MILLIS, this::fetchWhenBehind);
+    loop.every(CHECK_MILLIS, catchUp::check);
   }
 
   /** Returns the upstream beside the node. */
@@ -284,9 +282,7 @@
     if (news) {
       announceSoon();
     }
-    if (ahead(report) && !followsStore()) {
-      fetchFrom(node);
-    }
+    catchUp.reported(node, report);
   }
 
   @Override
@@ -390,45 +386,8 @@
     return configuration == null ? CallerLimits.DEFAULT : configuration.limits();
   }
 
-  /** Asks a node that is ahead, when the store has not brought its news here for a while. */
-  private void fetchWhenBehind() {
-    long nowMillis = loop.millis();
-    Peer ahead = anyAhead();
-    if (ahead == null) {
-      behindSinceMillis = 0;
-      return;
-    }
-    if (behindSinceMillis == 0) {
-      behindSinceMillis = nowMillis;
-    }
-    if (!followsStore() || nowMillis - behindSinceMillis >= BEHIND_MILLIS) {
-      fetchFrom(ahead.info.node());
-    }
-  }
-
-  /** Returns one of the nodes that are ahead, of the own failure domain if there is one. */
-  private Peer anyAhead() {
-    List<Peer> near = new ArrayList<>();
-    List<Peer> far = new ArrayList<>();
-    for (Peer peer : mesh.peers()) {
-      if (mesh.alive(peer) && ahead(peer.report)) {
-        (peer.info.domain().equals(settings.self().domain()) ? near : far).add(peer);
-      }
-    }
-    List<Peer> all = near.isEmpty() ? far : near;
-    return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
-  }
-
-  private boolean ahead(NodeReport report) {
-    return report.configurationVersion() > configurationVersion()
-        || report.ordersVersion() > orders.version();
-  }
-
-  private void fetchFrom(NodeId node) {
-    mesh.fetchFrom(node, new NodeMessage.Fetch(configurationVersion(), orders.version()));
-  }
-
-  private long configurationVersion() {
+  /** Returns the version of the configuration in force; -1 without one. */
+  long configurationVersion() {
     return configuration == null ? -1 : configuration.version();
   }
 }
