--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -152,6 +152,12 @@
         && loop.millis() - peer.reportMillis < SUSPECT_PINGS * pingMillis();
   }
 
+  /** Returns whether the node of a name answers. */
+  public boolean alive(NodeId node) {
+    Peer peer = peers.get(node);
+    return peer != null && alive(peer);
+  }
+
   /** Returns whether a node has just answered, so that it need not be missed for long. */
   boolean fresh(Peer peer) {
     return peer.link != null
@@ -159,12 +165,6 @@
         && loop.millis() - peer.reportMillis < FRESH_PINGS * pingMillis();
   }
 
-  /** Returns whether the node of a name answers. */
-  public boolean alive(NodeId node) {
-    Peer peer = peers.get(node);
-    return peer != null && alive(peer);
-  }
-
   /** Returns how many other nodes answer. */
   public int aliveCount() {
     return (int) peers.values().stream().filter(this::alive).count();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -121,10 +121,10 @@
 
   private void remember(MoveOrder order) {
     VersionKey version = new VersionKey(order.service(), order.to());
-    switch (order.state()) {
-      case ROLLED_BACK -> takenBack.add(version);
-      case COMPLETED -> takenBack.remove(version);
-      case RUNNING -> {}
+    if (order.state() == MoveOrder.State.ROLLED_BACK) {
+      takenBack.add(version);
+    } else if (order.state() == MoveOrder.State.COMPLETED) {
+      takenBack.remove(version);
     }
   }
 
