Refuse at once what a stopping node may not finish

Its callers kept coming, since too few other nodes of the failure domain were ready, so that it was busy until its grace was over, 5.5 s after SIGTERM, and cut what was under way; the first one had come 5.3 s after SIGTERM.

Change: a request whose time may run out after the node's end is answered 503 with Retry-After at once.

Ruled out: a slow upstream (the requests had 0.3 s), the store. MeshNodeTest.stoppingNode... cuts two requests without the change, none with it.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
@@ -8,7 +8,8 @@
 /**
  * The graceful stop of a node. Callers notice within about two seconds that the node is not ready;
  * until then it serves them as usual and ends each connection behind its next answer. Then it
- * closes what is idle and waits for the rest.
+ * closes what is idle and waits for the rest. Callers may keep coming all the while, when too few
+ * other nodes are there; a request that might not end before the grace does is refused at once.
  */
 final class Departure {
   private static final long CALLERS_NOTICE_MILLIS = 2_600;
@@ -37,6 +38,7 @@
 
   void begin() {
     beganMillis = loop.millis();
+    node.entry().endBy(beganMillis + graceMillis - MARGIN_MILLIS);
     loop.after(CALLERS_NOTICE_MILLIS, this::check);
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -42,6 +42,10 @@
   private static final double SAME_DOMAIN_MILLIS = 0.5;
   private static final double CROSS_DOMAIN_MILLIS = 4;
   private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
+
+  /** About how long a node is away when it is restarted. */
+  private static final long RESTART_MILLIS = 1_500;
+
   private static final int PERMILLE = 1000;
 
   /** For how long the load that another node told is taken as its load of now. */
@@ -65,6 +69,7 @@
   private final Map<ServiceName, ShortLived> shortLived = new HashMap<>();
   private TrafficConfiguration configuration;
   private Set<FailureDomain> withdrawn = Set.of();
+  private long endMillis = Long.MAX_VALUE;
   private int open;
 
   /** Makes the entry of a node; it refuses all requests until a configuration is there. */
@@ -100,6 +105,11 @@
     withdrawn = domains;
   }
 
+  /** Takes in when the node ends; requests that may last longer are refused from now on. */
+  public void endBy(long millis) {
+    endMillis = millis;
+  }
+
   /** Returns how many requests wait for their answers. */
   public int open() {
     return open;
@@ -130,10 +140,15 @@
       return;
     }
     TrafficRoute route = found.get();
+    long deadlineMillis = deadline(exchange, route);
+    if (deadlineMillis > endMillis) {
+      note("refused", exchange, "why", "stopping", "endMillis", endMillis - loop.millis());
+      exchange.respond(Refusals.notRun("stopping", RESTART_MILLIS, random));
+      return;
+    }
     ServiceName service = turn(route);
     budgets.called(service);
     open++;
-    long deadlineMillis = deadline(exchange, route);
     boolean isShort =
         shortLived
             .computeIfAbsent(service, name -> new ShortLived())
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -43,6 +43,7 @@
   static final FieldNames NAMES =
       new FieldNames("Id", "Deadline", "Seal", "Expected", "Not-Run", "Caller", "Up", "Cold");
   static final EntrySettings ENTRY = new EntrySettings(0.2, 60, 10_000);
+  static final long GRACE_MILLIS = 6_000;
   private static final int WAIT_SECONDS = 10;
 
   /** A node and its upstream. */
@@ -69,7 +70,14 @@
               number);
       MeshSettings settings =
           new MeshSettings(
-              self, SERVICE, callers, upstream.address(), NAMES, ENTRY, ColdAllowance.NONE, 6_000);
+              self,
+              SERVICE,
+              callers,
+              upstream.address(),
+              NAMES,
+              ENTRY,
+              ColdAllowance.NONE,
+              GRACE_MILLIS);
       node =
           new MeshNode(
               loop, settings, bytes -> configuration(bytes[0]), new Kept(this), DecisionSink.NONE);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -15,12 +15,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class MeshNodeTest {
+  /** Asks for more than the four slots can run. */
+  private static final long CALL_PAUSE_MILLIS = 60;
+
   /** Longer than the test, however busy the machine is. */
   private static final long COLD_MILLIS = 60_000;
 
@@ -133,6 +138,27 @@
     await().atMost(Duration.ofMillis(500)).untilTrue(cancelled);
   }
 
+  /** Callers do not leave when too few other nodes are ready, so that a node is never idle. */
+  @Test
+  void stoppingNodeCutsNoRequestThoughCallersKeepComing() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis", MeshNodeTest::answerSlowly);
+    first.announce(false, 0);
+    AtomicBoolean stopped = new AtomicBoolean();
+    List<String> answers = new CopyOnWriteArrayList<>();
+    first.on(() -> first.node.stop(() -> stopped.set(true)));
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MeshFixture.GRACE_MILLIS);
+    try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (int i = 0; !stopped.get() && System.nanoTime() < until; i++) {
+        String id = "s" + i;
+        callers.submit(() -> answers.add(MeshFixture.get(first, "/a/", id)));
+        Thread.sleep(CALL_PAUSE_MILLIS);
+      }
+    }
+    assertThat(stopped).isTrue();
+    assertThat(answers).isNotEmpty().allMatch(answer -> answer.matches("(?s)HTTP/1.1 (200|503).*"));
+    assertThat(answers).anyMatch(answer -> answer.startsWith("HTTP/1.1 200"));
+  }
+
   @Test
   void coldUpstreamGetsNoMoreThanItBearsInAnySecond() throws Exception {
     List<Long> ranMillis = new CopyOnWriteArrayList<>();
@@ -266,6 +292,20 @@
     await().atMost(WAIT).untilTrue(stopped);
   }
 
+  private static void answerSlowly(Socket socket) throws java.io.IOException {
+    for (String id = RawServer.readRequestId(socket);
+        id != null;
+        id = RawServer.readRequestId(socket)) {
+      try {
+        Thread.sleep(300);
+      } catch (InterruptedException e) {
+        return;
+      }
+      RawServer.write(
+          socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
   private void shed(Socket socket) throws java.io.IOException {
     for (String id = RawServer.readRequestId(socket);
         id != null;
