Leave a fresh caller time for its first request when a node stops; count only requests that were read

Such a close is allowed, as the request was not read, but costs the caller a try.

Change: a connection is closed when nothing came on it for 200 ms.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpServerConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpServerConnection.java
@@ -78,9 +78,14 @@
     watchIdle(limits.get().idleTimeoutMillis());
   }
 
-  /** Ends the connection when no request is under way on it. */
-  public void closeIfIdle() {
-    if (unanswered.isEmpty() && !receiving && outbox().drained()) {
+  /**
+   * Ends the connection when no request is under way on it and none has just come or is about to.
+   *
+   * @param idleMillis for how long nothing must have come
+   */
+  public void closeIfIdle(long idleMillis) {
+    boolean idle = loop().millis() - usedMillis >= idleMillis;
+    if (idle && unanswered.isEmpty() && !receiving && outbox().drained()) {
       end(null);
     }
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
@@ -13,6 +13,10 @@
  */
 final class Departure {
   private static final long CALLERS_NOTICE_MILLIS = 2_600;
+
+  /** Within what time a caller's first request follows its connection. */
+  private static final long FIRST_REQUEST_MILLIS = 200;
+
   private static final long CHECK_MILLIS = 50;
   private static final long MARGIN_MILLIS = 500;
 
@@ -43,7 +47,7 @@
   }
 
   private void check() {
-    List.copyOf(callers).forEach(HttpServerConnection::closeIfIdle);
+    List.copyOf(callers).forEach(caller -> caller.closeIfIdle(FIRST_REQUEST_MILLIS));
     boolean graceOver = loop.millis() - beganMillis >= graceMillis - MARGIN_MILLIS;
     if (!node.busy() || graceOver) {
       loop.stopListening();
