--- a/hemlockbend-cli/src/main/java/io/hemlockbend/cli/InForceWaiter.java
+++ b/hemlockbend-cli/src/main/java/io/hemlockbend/cli/InForceWaiter.java
@@ -20,7 +20,19 @@
     String path = AdminPaths.PROGRESS + "?" + AdminPaths.VERSION + "=" + version;
     String drawn = "";
     while (true) {
-      AdminAnswer.Progress now = client.get(path, AdminAnswer.Progress.class);
+      AdminAnswer.Progress now;
+      try {
+        now = client.get(path, AdminAnswer.Progress.class);
+      } catch (ClientException e) {
+        if (e.exitCode() != ExitCodes.UNREACHABLE) {
+          throw e;
+        }
+        if (!client.pause()) {
+          progress.println("gave up waiting; the version is accepted; " + e.getMessage());
+          return ExitCodes.NOT_EVERYWHERE;
+        }
+        continue;
+      }
       String line =
           "version %s in force on %d of %d live nodes"
               .formatted(version, now.holding(), now.live());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
@@ -18,6 +18,10 @@
   private static final long FIRST_REQUEST_MILLIS = 200;
 
   private static final long CHECK_MILLIS = 50;
+
+  /** How long after its deadline a request's answer is on its way out at most. */
+  private static final long LAST_ANSWERS_MILLIS = 300;
+
   private static final long MARGIN_MILLIS = 500;
 
   private final EventLoop loop;
@@ -42,7 +46,7 @@
 
   void begin() {
     beganMillis = loop.millis();
-    node.entry().endBy(beganMillis + graceMillis - MARGIN_MILLIS);
+    node.entry().endBy(beganMillis + graceMillis - MARGIN_MILLIS - LAST_ANSWERS_MILLIS);
     loop.after(CALLERS_NOTICE_MILLIS, this::check);
   }
 
