Keep the order of arrival where no cold rate is told

It waits by arrival again; the node on the users' platform, which makes its controller with a cold rate, waits by patience as before.

Green on this change: RequestMatrixTest, AdmissionControllerTest, ColdOverloadTest, LateLastTest.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -45,6 +45,7 @@
   private final Deque<Long> lingerUntilMillis = new ArrayDeque<>();
   private final ConcurrencyLimit limit;
   private final ColdRate coldRate;
+  private final boolean byPatience;
   private AdmissionGate gate;
   private StartId start;
   private boolean aloneRuns;
@@ -52,7 +53,7 @@
   private long lastNumber;
 
   /**
-   * Makes the controller of an upstream in its cold start.
+   * Makes the controller of an upstream in its cold start; equally urgent requests wait by arrival.
    *
    * @param settings the bounds
    * @param gate what is known of the upstream
@@ -61,11 +62,12 @@
    */
   public AdmissionController(
       AdmissionSettings settings, AdmissionGate gate, StartId start, long nowMillis) {
-    this(settings, gate, start, ColdRate.unbounded(), nowMillis);
+    this(settings, gate, start, ColdRate.unbounded(), false, nowMillis);
   }
 
   /**
-   * Makes the controller of an upstream that tells how long it is cold.
+   * Makes the controller of an upstream that tells how long it is cold; equally urgent requests
+   * wait by how long they can.
    *
    * @param settings the bounds
    * @param gate what is known of the upstream
@@ -79,7 +81,18 @@
       StartId start,
       ColdRate coldRate,
       long nowMillis) {
+    this(settings, gate, start, coldRate, true, nowMillis);
+  }
+
+  private AdmissionController(
+      AdmissionSettings settings,
+      AdmissionGate gate,
+      StartId start,
+      ColdRate coldRate,
+      boolean byPatience,
+      long nowMillis) {
     this.settings = settings;
+    this.byPatience = byPatience;
     this.coldRate = coldRate;
     this.gate = gate;
     this.start = start;
@@ -302,8 +315,11 @@
     return patient ? 1 + KEPT_ROOM : 1;
   }
 
-  /** Returns how long a request can wait and still be answered in time. */
+  /** Returns how long a request can wait and still be answered in time, if that counts. */
   private long patience(AdmissionRequest request, long nowMillis) {
+    if (!byPatience) {
+      return 0;
+    }
     double service = times.expectedMillis(request.route());
     return (long) (request.deadlineMillis() - nowMillis - service);
   }
