--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -38,7 +38,7 @@
   private static final int BACKLOG = 512;
   private static final long MAX_SELECT_MILLIS = 1_000;
 
-  /** Longer than any of the pauses after which a connection is tried again. */
+  /** As long as the longest pause after which a node is dialed again. */
   private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
 
   /** Makes the connection of an end point that was opened. */
