Log the way of large bodies, the state of lost links and late loops

The end line tells the parts of a request's time. Counters and gauges of the same. The links that other nodes dialed move to a class of their own, AcceptedLink. No decision changes.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -241,6 +241,10 @@
         outcome.word(),
         "why",
         why.isEmpty() ? null : why,
+        "readMillis",
+        call.readMillis(),
+        "serviceMillis",
+        call.serviceMillis(),
         "tookMillis",
         tookMillis);
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -38,6 +38,8 @@
   private final boolean shortLived;
   private boolean missedTarget;
   private boolean over;
+  private final long readMillis;
+  private long serviceMillis = -1;
 
   EntryCall(
       Entry entry,
@@ -52,6 +54,7 @@
     this.route = route;
     this.service = service;
     this.deadlineMillis = deadlineMillis;
+    this.readMillis = entry.loop().millis() - exchange.receivedMillis();
     this.deadline = entry.loop().after(deadlineMillis - entry.loop().millis(), this::expired);
     exchange.onAbandoned(this::abandoned);
   }
@@ -68,6 +71,16 @@
     return service;
   }
 
+  /** Returns how long its body took to come from the caller, after its head. */
+  long readMillis() {
+    return readMillis;
+  }
+
+  /** Returns how long the upstream that answered took, or null when none did. */
+  Long serviceMillis() {
+    return serviceMillis < 0 ? null : serviceMillis;
+  }
+
   /** Returns the nodes that it was sent to, in their order. */
   String tries() {
     return tries.toString();
@@ -160,6 +173,7 @@
 
   private void answered(NodeId node, RunEnd.Answered answered) {
     int status = answered.reply().status();
+    serviceMillis = answered.serviceMillis();
     boolean failed = HttpStatus.isServerError(status) && status != HttpStatus.GATEWAY_TIMEOUT_504;
     if (!failed || !route.idempotent()) {
       finish(answered.reply(), EntryOutcome.ANSWERED, "", node);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -85,6 +85,7 @@
   private final DecisionSink sink;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private final Set<PeerConnection> accepted = new HashSet<>();
+  private final LargeBodies largeBodies = new LargeBodies();
   private long nextStream = 1;
   private long fetchedMillis;
   private boolean stopped;
@@ -100,7 +101,7 @@
 
   /** Makes the connection of a node that dialed this one. */
   public Connection accept(EndPoint endPoint) {
-    return new PeerConnection(endPoint, loop, new AcceptedLink());
+    return new PeerConnection(endPoint, loop, new AcceptedLink(this, owner, accepted, sink));
   }
 
   /** Takes in where a node is; a later start of it replaces an earlier one. */
@@ -219,7 +220,7 @@
       if (peer.link == null) {
         redialWhenDue(peer, nowMillis);
       } else if (nowMillis - Math.max(peer.reportMillis, peer.dialedMillis) > DEAD_MILLIS) {
-        sink.decided("link-silent", null, "peer", peer.info.node());
+        noteLink("link-silent", peer, peer.link, null);
         peer.link.end(null);
       } else if (nowMillis - peer.pingedMillis >= pingMillis()) {
         peer.pingedMillis = nowMillis;
@@ -228,6 +229,45 @@
     }
   }
 
+  /** Logs the state of a link with what shows whether the node, its peer or the way is slow. */
+  private void noteLink(String event, Peer peer, PeerConnection link, Throwable cause) {
+    long nowMillis = loop.millis();
+    sink.decided(
+        event,
+        null,
+        "peer",
+        peer.info.node(),
+        "cause",
+        cause,
+        "reportAgeMillis",
+        nowMillis - peer.reportMillis,
+        "bytesAgeMillis",
+        nowMillis - link.receivedMillis(),
+        "pendingBytes",
+        link.pendingBytes(),
+        "partialBytes",
+        link.partialBytes(),
+        "open",
+        peer.outstanding());
+  }
+
+  /** Returns how many bytes wait to be sent to other nodes. */
+  public long pendingBytes() {
+    long sum = 0;
+    for (PeerConnection link : accepted) {
+      sum += link.pendingBytes();
+    }
+    for (Peer peer : peers.values()) {
+      sum += peer.link == null ? 0 : peer.link.pendingBytes();
+    }
+    return sum;
+  }
+
+  /** Returns what came in large bodies. */
+  public LargeBodies largeBodies() {
+    return largeBodies;
+  }
+
   /** Returns how often each node is asked, so that a node's pings are bounded in a large mesh. */
   private long pingMillis() {
     return Math.clamp(
@@ -323,65 +363,11 @@
       if (peer.link != connection) {
         return;
       }
+      noteLink("link-lost", peer, connection, cause);
       peer.link = null;
       peer.report = null;
       peer.dialedMillis = loop.millis();
-      sink.decided("link-lost", null, "peer", peer.info.node(), "cause", String.valueOf(cause));
       peer.loseAll("link to " + peer.info.node() + " lost");
     }
   }
-
-  private final class AcceptedLink implements PeerConnection.Listener {
-    private final Map<Long, Runnable> runs = new TreeMap<>();
-
-    @Override
-    public void opened(PeerConnection connection) {
-      accepted.add(connection);
-    }
-
-    @Override
-    public void received(PeerConnection connection, NodeMessage message) {
-      switch (message) {
-        case NodeMessage.Hello hello -> {
-          learn(hello.sender());
-          hello.known().forEach(PeerMesh.this::learn);
-          owner.greeted();
-        }
-        case NodeMessage.Ping ping ->
-            connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
-        case NodeMessage.Run run -> run(connection, run);
-        case NodeMessage.Cancel cancel -> {
-          Runnable takeBack = runs.remove(cancel.stream());
-          if (takeBack != null) {
-            takeBack.run();
-          }
-        }
-        case NodeMessage.Fetch fetch -> owner.documents(fetch).forEach(connection::send);
-        default -> connection.end(new IllegalStateException("unexpected " + message));
-      }
-    }
-
-    private void run(PeerConnection connection, NodeMessage.Run run) {
-      boolean[] ended = new boolean[1];
-      Runnable takeBack =
-          owner.run(
-              run.request(),
-              end -> {
-                ended[0] = true;
-                runs.remove(run.stream());
-                connection.send(new NodeMessage.Ended(run.stream(), end, owner.load()));
-              });
-      if (!ended[0]) {
-        runs.put(run.stream(), takeBack);
-      }
-    }
-
-    @Override
-    public void closed(PeerConnection connection, Throwable cause) {
-      accepted.remove(connection);
-      List<Runnable> left = new ArrayList<>(runs.values());
-      runs.clear();
-      left.forEach(Runnable::run);
-    }
-  }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.metrics;
 
+import io.hemlockbend.proxy.loop.LoopWatch;
 import io.hemlockbend.proxy.mesh.EntryCounters;
 import io.hemlockbend.proxy.mesh.MeshNode;
 import io.micrometer.core.instrument.FunctionCounter;
@@ -44,6 +45,12 @@
     counter("upstream_connections", "connections opened to it", NodeSnapshot::connections);
     counter("log_lines_dropped", "log lines that found the queue full", NodeSnapshot::linesDropped);
     counter("store_calls", "calls of the platform's store", NodeSnapshot::storeCalls);
+    counter("loop_late_millis", "lateness of the loop's timers", page -> page.use().lateMillis());
+    counter("large_bodies", "bodies from other nodes", page -> page.use().bodies());
+    counter("large_body_bytes", "the bytes of these", page -> page.use().bodyBytes());
+    counter("large_body_millis", "from first to last byte", page -> page.use().bodyMillis());
+    gauge("heap_bytes", "the heap in use", page -> page.use().heapBytes());
+    gauge("peer_bytes_waiting", "bytes to be sent to nodes", page -> page.use().pendingBytes());
     gauge("open_requests", "callers' requests under way", NodeSnapshot::open);
     gauge("upstream_running", "requests that the upstream runs", NodeSnapshot::running);
     gauge("upstream_queued", "requests that wait for the upstream", NodeSnapshot::queued);
@@ -101,10 +108,12 @@
    * Takes a snapshot of a node; called on its event loop.
    *
    * @param node the node
+   * @param watch measures whether its event loop is on time
    * @param storeCalls how many calls of the store were sent
    * @param linesDropped how many log lines were dropped
    */
-  public static NodeSnapshot snapshot(MeshNode node, long storeCalls, long linesDropped) {
+  public static NodeSnapshot snapshot(
+      MeshNode node, LoopWatch watch, long storeCalls, long linesDropped) {
     EntryCounters counters = node.entry().counters();
     return new NodeSnapshot(
         Map.copyOf(counters.byStatus()),
@@ -120,6 +129,7 @@
         node.configuration() == null ? -1 : node.configuration().version(),
         node.mesh().aliveCount(),
         storeCalls,
-        linesDropped);
+        linesDropped,
+        ProcessUse.of(watch, node.mesh()));
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/NodeSnapshot.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/NodeSnapshot.java
@@ -19,6 +19,7 @@
  * @param peersAlive other nodes that answer
  * @param storeCalls calls of the platform's store
  * @param linesDropped log lines that found the queue full
+ * @param use what its process and its links are used for
  */
 public record NodeSnapshot(
     Map<Integer, Long> byStatus,
@@ -34,10 +35,12 @@
     long configuration,
     int peersAlive,
     long storeCalls,
-    long linesDropped) {
+    long linesDropped,
+    ProcessUse use) {
   /** Nothing was counted yet. */
   static final NodeSnapshot EMPTY =
-      new NodeSnapshot(Map.of(), Map.of(), new long[0], 0, 0, 0, 0, 0, 0, 0, -1, 0, 0, 0);
+      new NodeSnapshot(
+          Map.of(), Map.of(), new long[0], 0, 0, 0, 0, 0, 0, 0, -1, 0, 0, 0, ProcessUse.EMPTY);
 
   /** Returns how many requests ended within a bucket's bound. */
   double upTo(int bucket) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
@@ -28,6 +28,7 @@
   private byte[] held = new byte[FIRST_BYTES];
   private int heldLength;
   private long receivedMillis;
+  private long frameBeganMillis;
 
   /** Makes a connection on an end point. */
   public PeerConnection(EndPoint endPoint, EventLoop loop, Listener listener) {
@@ -48,6 +49,16 @@
     return receivedMillis;
   }
 
+  /** Returns how long the message that is handed on took from its first byte to its last. */
+  public long frameMillis() {
+    return receivedMillis - frameBeganMillis;
+  }
+
+  /** Returns how many bytes came of a message that is not whole yet. */
+  public long partialBytes() {
+    return heldLength;
+  }
+
   /** Returns how many bytes wait to be sent. */
   public long pendingBytes() {
     return outbox().pendingBytes();
@@ -62,6 +73,9 @@
   @Override
   protected void received(ByteBuffer bytes) {
     receivedMillis = loop().millis();
+    if (heldLength == 0) {
+      frameBeganMillis = receivedMillis;
+    }
     hold(bytes);
     int offset = 0;
     while (!isOver() && heldLength - offset >= Integer.BYTES) {
@@ -76,6 +90,7 @@
       int from = offset + Integer.BYTES;
       offset = from + length;
       take(Arrays.copyOfRange(held, from, offset));
+      frameBeganMillis = receivedMillis;
     }
     System.arraycopy(held, offset, held, 0, heldLength - offset);
     heldLength -= offset;
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/metrics/MetricsPageTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/metrics/MetricsPageTest.java
@@ -17,7 +17,12 @@
         .contains("hemlockbend_requests_total{status=\"503\"} 1.0")
         .contains("hemlockbend_request_millis_total{le=\"50\"} 3.0")
         .contains("hemlockbend_request_millis_total{le=\"+Inf\"} 4.0")
-        .contains("hemlockbend_upstream_limit 9.0");
+        .contains("hemlockbend_upstream_limit 9.0")
+        .contains("hemlockbend_loop_late_millis_total 250.0")
+        .contains("hemlockbend_heap_bytes 4.0E7")
+        .contains("hemlockbend_peer_bytes_waiting 1500000.0")
+        .contains("hemlockbend_large_body_bytes_total 840000.0")
+        .contains("hemlockbend_large_body_millis_total 4200.0");
   }
 
   @Test
@@ -30,6 +35,20 @@
 
   private static NodeSnapshot snapshot(Map<Integer, Long> byStatus, long[] latency) {
     return new NodeSnapshot(
-        byStatus, Map.of("answered", 3L), latency, 120, 4, 2, 1, 3, 0, 9, 7, 13, 5, 0);
+        byStatus,
+        Map.of("answered", 3L),
+        latency,
+        120,
+        4,
+        2,
+        1,
+        3,
+        0,
+        9,
+        7,
+        13,
+        5,
+        0,
+        new ProcessUse(250, 40_000_000, 1_500_000, 3, 840_000, 4_200));
   }
 }
