--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/RawServer.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/RawServer.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -62,6 +63,33 @@
     return any ? id : null;
   }
 
+  /** A request whose body was read. */
+  public record Request(String id, int bodyBytes) {}
+
+  /** Reads a request with its body, byte by byte in the head; returns null at the end. */
+  public static Request readRequest(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return null;
+      }
+      head.append((char) next);
+    }
+    int length = 0;
+    String id = "";
+    for (String line : head.toString().split("\r\n")) {
+      if (line.startsWith("Id: ")) {
+        id = line.substring("Id: ".length());
+      } else if (line.startsWith("Content-Length: ")) {
+        length = Integer.parseInt(line.substring("Content-Length: ".length()));
+      }
+    }
+    int read = in.readNBytes(length).length;
+    return read < length ? null : new Request(id, length);
+  }
+
   public static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -44,6 +44,11 @@
       new FieldNames("Id", "Deadline", "Seal", "Expected", "Not-Run", "Caller", "Up", "Cold");
   static final EntrySettings ENTRY = new EntrySettings(0.2, 60, 10_000);
   static final long GRACE_MILLIS = 6_000;
+
+  /** How long the callers of uploads wait. */
+  static final long UPLOAD_MILLIS = 4_000;
+
+  private static final long UPLOAD_TARGET_MILLIS = 3_000;
   private static final int WAIT_SECONDS = 10;
 
   /** A node and its upstream. */
@@ -149,6 +154,18 @@
     return member;
   }
 
+  /** Adds a node that reaches another one through a port, and only that one; it has no upstream. */
+  Member addBehind(String domain, Member other, int port) {
+    int number = members.size() + 1;
+    Member member = new Member(number, domain, socket -> answerAll(socket, "n" + number));
+    members.add(member);
+    NodeInfo there = other.node.mesh().self();
+    NodeInfo behind =
+        new NodeInfo(there.node(), there.ip(), port, there.domain(), there.startedMillis());
+    member.on(() -> member.node.mesh().learn(behind));
+    return member;
+  }
+
   void answerAll(Socket socket, String name) throws IOException {
     for (String id = RawServer.readRequestId(socket);
         id != null;
@@ -191,7 +208,17 @@
             new TrafficRoute(
                 "r1", "shop", "/a/", RepeatKind.IDEMPOTENT, 1_500, 200, 1, 2, services),
             new TrafficRoute(
-                "r2", "shop", "/once/", RepeatKind.AT_MOST_ONCE, 1_500, 200, 1, 2, services)),
+                "r2", "shop", "/once/", RepeatKind.AT_MOST_ONCE, 1_500, 200, 1, 2, services),
+            new TrafficRoute(
+                "r3",
+                "shop",
+                "/up/",
+                RepeatKind.AT_MOST_ONCE,
+                UPLOAD_MILLIS,
+                UPLOAD_TARGET_MILLIS,
+                1,
+                2,
+                services)),
         List.of(new TrafficService(SERVICE, "/health", 100, 3_000, 32)),
         CallerLimits.DEFAULT);
   }
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/NarrowLink.java
@@ -0,0 +1,93 @@
+package io.hemlockbend.proxy.mesh;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The link of an instance: all bytes to it pass one after another at a bounded rate, whichever
+ * connection they are on. Bytes from it are not bounded.
+ */
+final class NarrowLink implements AutoCloseable {
+  /** Small, so that a sender sees at once that the link is full. */
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  private static final int PIECE_BYTES = 4 * 1024;
+
+  private final ServerSocket server = new ServerSocket();
+  private final InetSocketAddress target;
+  private final long bytesPerSecond;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private long freeNanos = System.nanoTime();
+
+  NarrowLink(InetSocketAddress target, long bytesPerSecond) throws IOException {
+    this.target = target;
+    this.bytesPerSecond = bytesPerSecond;
+    server.setReceiveBufferSize(BUFFER_BYTES);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket caller = server.accept();
+        Socket callee = new Socket(target.getAddress(), target.getPort());
+        caller.setTcpNoDelay(true);
+        callee.setTcpNoDelay(true);
+        open.add(caller);
+        open.add(callee);
+        Thread.ofVirtual().start(() -> pass(caller, callee, true));
+        Thread.ofVirtual().start(() -> pass(callee, caller, false));
+      }
+    } catch (IOException e) {
+      // The link was closed.
+    }
+  }
+
+  private void pass(Socket from, Socket to, boolean bounded) {
+    byte[] buffer = new byte[bounded ? PIECE_BYTES : BUFFER_BYTES];
+    try (from;
+        to) {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        if (bounded) {
+          TimeUnit.NANOSECONDS.sleep(turnNanos(count));
+        }
+        out.write(buffer, 0, count);
+      }
+    } catch (IOException | InterruptedException e) {
+      // One side is gone; both sockets are closed.
+    } finally {
+      open.remove(from);
+      open.remove(to);
+    }
+  }
+
+  /** Returns after how long so many bytes have passed the link behind all before them. */
+  private synchronized long turnNanos(int bytes) {
+    long now = System.nanoTime();
+    freeNanos = Math.max(now, freeNanos) + TimeUnit.SECONDS.toNanos(bytes) / bytesPerSecond;
+    return freeNanos - now;
+  }
+}
