Take large bodies in by the rate of the instance's link

Cause: an entry sent a body as soon as it had chosen an upstream. The eight nodes beside the catalogue have links of 15.4 Mbit/s; bodies of 270 KB from up to 85 entries filled them, and pings, calls and offers waited behind the bodies on the same links. After three seconds without a report a link was left as silent, though bytes had come 0.3 s before, and what was under way there ended as one that may have run. Class of fault: a shared resource, the bytes of a link, that neither placement nor admission counted, and a sign of life that waits in the same queue as the load it is to judge.

Ruled out: late nodes, a full heap (no loop-late line after the start), slots.

Change: a body of 16 KB or more is offered with its request. BodyIntake refuses it at once when it could not be whole in time behind those before it, else asks for it in its turn, never for more than 96 KB at a time; late ones go behind all others. The rate is that of the settings. Entries hear how long bodies wait and place by it. While a part of its body was not sent, a request surely has not run, so that a lost link no longer fails it.

It works because the link's queue now stands at the entries, in an order, and what it cannot carry is known before any byte is sent.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/admission/AdmissionController.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.core.admission;
 
 import io.hemlockbend.core.api.EndpointState;
+import io.hemlockbend.core.api.RouteName;
 import io.hemlockbend.core.api.StartId;
 import io.hemlockbend.core.placement.WaitingKind;
 import io.hemlockbend.core.quarantine.Standing;
@@ -235,6 +236,11 @@
     return Math.max(1, (int) (limit.limit() * gate.restoreShare()));
   }
 
+  /** Returns how long a request of a route usually takes, in milliseconds; 0 when not known. */
+  public double serviceMillis(RouteName route) {
+    return times.expectedMillis(route);
+  }
+
   /** Returns how many requests run. */
   public int inFlight() {
     return running.size();
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/PlacedUpstream.java
@@ -14,7 +14,8 @@
  * @param serviceMillis how long a request usually takes there; 0 when not known
  * @param failureShare the share of its latest requests that failed
  * @param near whether it is in the entry's own failure domain
- * @param crossingMillis how long the way there and back takes
+ * @param crossingMillis how long the way there and back takes, with the request's body
+ * @param bodyWaitMillis how long the request's body waits before it may be sent there
  */
 public record PlacedUpstream(
     NodeId node,
@@ -26,7 +27,8 @@
     double serviceMillis,
     double failureShare,
     boolean near,
-    double crossingMillis) {
+    double crossingMillis,
+    double bodyWaitMillis) {
   private static final double UNKNOWN_SERVICE_MILLIS = 50;
 
   /** Keeps the cost of an upstream that fails everything finite. */
@@ -42,8 +44,9 @@
   }
 
   /**
-   * Returns whether a request would be refused there: too many wait, or its answer would come late.
-   * Asking such an upstream all the same costs both nodes time under the very load that fills it.
+   * Returns whether a request would be refused there: too many wait, or its answer would come late
+   * behind them or behind the bodies that come in first. Asking such an upstream all the same costs
+   * both nodes time under the very load that fills it.
    *
    * @param kind what may go before it
    * @param leftMillis how long an answer is of use
@@ -51,7 +54,8 @@
   public boolean full(WaitingKind kind, double leftMillis) {
     double ahead = ahead(kind);
     return ahead - limit >= longestQueue
-        || ahead >= limit && waitMillis(kind) + serviceMillis > leftMillis;
+        || ahead >= limit && waitMillis(kind) + serviceMillis > leftMillis
+        || bodyWaitMillis > 0 && bodyWaitMillis + crossingMillis + serviceMillis > leftMillis;
   }
 
   /** Returns how a request would wait there whose answer is of use for some time. */
@@ -74,6 +78,7 @@
   public double cost() {
     double service = serviceMillis > 0 ? serviceMillis : UNKNOWN_SERVICE_MILLIS;
     double success = Math.max(LEAST_SUCCESS, 1 - failureShare);
-    return (service * (running + 1) / limit + crossingMillis) / (success * success);
+    double way = crossingMillis + bodyWaitMillis;
+    return (service * (running + 1) / limit + way) / (success * success);
   }
 }
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/placement/UpstreamChooser.java
@@ -18,6 +18,9 @@
   /** The share of failures above which being near counts for nothing. */
   public static final double NEAR_FAILURES = 0.1;
 
+  /** For how long a body may wait at an upstream of the own domain before others are used too. */
+  public static final double NEAR_BODY_WAIT_MILLIS = 150;
+
   private final RandomGenerator random;
 
   /** Makes a chooser that draws from a generator. */
@@ -29,7 +32,9 @@
   public Optional<PlacedUpstream> choose(List<PlacedUpstream> upstreams) {
     List<PlacedUpstream> near = new ArrayList<>(upstreams.size());
     for (PlacedUpstream upstream : upstreams) {
-      boolean room = upstream.running() + 1 <= NEAR_FILL * upstream.limit();
+      boolean room =
+          upstream.running() + 1 <= NEAR_FILL * upstream.limit()
+              && upstream.bodyWaitMillis() <= NEAR_BODY_WAIT_MILLIS;
       if (upstream.near() && room && upstream.failureShare() <= NEAR_FAILURES) {
         near.add(upstream);
       }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/PlacedUpstreamTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/PlacedUpstreamTest.java
@@ -40,8 +40,46 @@
     assertThat(busy.full(WaitingKind.PATIENT, 10_000)).isTrue();
   }
 
+  /** A body that waits for the link makes its request late, however many slots are free. */
+  @Test
+  void isFullForRequestsWhoseBodiesWouldWaitTooLong() {
+    assertThat(behindBodies(700, 200).full(WaitingKind.PATIENT, 991)).isFalse();
+    assertThat(behindBodies(700, 200).full(WaitingKind.PATIENT, 989)).isTrue();
+    assertThat(behindBodies(0, 200).full(WaitingKind.PATIENT, 1)).isFalse();
+  }
+
+  @Test
+  void costsMoreTheLongerBodiesWait() {
+    assertThat(behindBodies(700, 200).cost() - behindBodies(0, 200).cost()).isEqualTo(700);
+  }
+
   private static PlacedUpstream upstream(int running, int patient, int late) {
     return new PlacedUpstream(
-        new NodeId("n1"), running, patient, late, SLOTS, LONGEST_QUEUE, SERVICE_MILLIS, 0, true, 0);
+        new NodeId("n1"),
+        running,
+        patient,
+        late,
+        SLOTS,
+        LONGEST_QUEUE,
+        SERVICE_MILLIS,
+        0,
+        true,
+        0,
+        0);
+  }
+
+  private static PlacedUpstream behindBodies(double bodyWaitMillis, double crossingMillis) {
+    return new PlacedUpstream(
+        new NodeId("n1"),
+        0,
+        0,
+        0,
+        SLOTS,
+        LONGEST_QUEUE,
+        SERVICE_MILLIS,
+        0,
+        true,
+        crossingMillis,
+        bodyWaitMillis);
   }
 }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/UpstreamChooserTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/placement/UpstreamChooserTest.java
@@ -27,15 +27,15 @@
   @Test
   void weighsSpeedAgainstLoad() {
     PlacedUpstream slowAndIdle =
-        new PlacedUpstream(new NodeId("slow"), 0, 0, 0, 9, 27, 400, 0, false, 0);
+        new PlacedUpstream(new NodeId("slow"), 0, 0, 0, 9, 27, 400, 0, false, 0, 0);
     PlacedUpstream fastAndBusy =
-        new PlacedUpstream(new NodeId("fast"), 4, 0, 0, 9, 27, 40, 0, false, 0);
+        new PlacedUpstream(new NodeId("fast"), 4, 0, 0, 9, 27, 40, 0, false, 0, 0);
     assertThat(chooser.choose(List.of(slowAndIdle, fastAndBusy))).contains(fastAndBusy);
   }
 
   @Test
   void staysInTheOwnDomainWhileThereIsRoom() {
-    PlacedUpstream near = new PlacedUpstream(new NodeId("near"), 5, 0, 0, 9, 27, 90, 0, true, 0);
+    PlacedUpstream near = new PlacedUpstream(new NodeId("near"), 5, 0, 0, 9, 27, 90, 0, true, 0, 0);
     List<PlacedUpstream> all = List.of(upstream("a", 0), near, upstream("b", 0));
     for (int i = 0; i < 200; i++) {
       assertThat(chooser.choose(all)).contains(near);
@@ -44,7 +44,7 @@
 
   @Test
   void leavesTheOwnDomainWhenItIsFull() {
-    PlacedUpstream near = new PlacedUpstream(new NodeId("near"), 8, 0, 0, 9, 27, 60, 0, true, 0);
+    PlacedUpstream near = new PlacedUpstream(new NodeId("near"), 8, 0, 0, 9, 27, 60, 0, true, 0, 0);
     List<PlacedUpstream> all = List.of(upstream("a", 0), near, upstream("b", 0));
     for (int i = 0; i < 200; i++) {
       assertThat(chooser.choose(all)).isPresent().get().isNotEqualTo(near);
@@ -53,7 +53,8 @@
 
   @Test
   void leavesUpstreamThatFailsHalfOfItsRequestsThoughItIsNearAndIdle() {
-    PlacedUpstream grey = new PlacedUpstream(new NodeId("grey"), 0, 0, 0, 9, 27, 60, 0.5, true, 0);
+    PlacedUpstream grey =
+        new PlacedUpstream(new NodeId("grey"), 0, 0, 0, 9, 27, 60, 0.5, true, 0, 0);
     List<PlacedUpstream> all = List.of(upstream("a", 2), grey, upstream("b", 2));
     int failing = 0;
     for (int i = 0; i < 200; i++) {
@@ -62,7 +63,19 @@
     assertThat(failing).isZero();
   }
 
+  @Test
+  void leavesTheOwnDomainWhenBodiesWaitThere() {
+    double waits = UpstreamChooser.NEAR_BODY_WAIT_MILLIS + 1;
+    PlacedUpstream near =
+        new PlacedUpstream(new NodeId("near"), 0, 0, 0, 9, 27, 60, 0, true, 100, waits);
+    PlacedUpstream far =
+        new PlacedUpstream(new NodeId("far"), 0, 0, 0, 9, 27, 60, 0, false, 104, 0);
+    for (int i = 0; i < 200; i++) {
+      assertThat(chooser.choose(List.of(near, far))).contains(far);
+    }
+  }
+
   private static PlacedUpstream upstream(String node, double running) {
-    return new PlacedUpstream(new NodeId(node), running, 0, 0, 9, 27, 60, 0, false, 0);
+    return new PlacedUpstream(new NodeId(node), running, 0, 0, 9, 27, 60, 0, false, 0, 0);
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
@@ -1,29 +1,28 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.NodeId;
-import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.peer.NodeMessage;
 import io.hemlockbend.proxy.peer.PeerConnection;
+import io.hemlockbend.proxy.peer.RunEnd;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * A link that another node dialed: its requests are run on the upstream beside this node, and its
  * questions are answered.
  */
 final class AcceptedLink implements PeerConnection.Listener {
-  /** From which size on the way of a body between two nodes is logged. */
-  private static final int LARGE_BODY_BYTES = 64 * 1024;
-
   private final PeerMesh mesh;
   private final PeerMesh.Owner owner;
   private final Set<PeerConnection> accepted;
-  private final DecisionSink sink;
 
   private final Map<Long, Runnable> runs = new TreeMap<>();
+  private final Map<Long, IncomingBody> bodies = new HashMap<>();
   private NodeId sender;
 
   /**
@@ -32,14 +31,11 @@
    * @param mesh learns of the nodes that the other one knows
    * @param owner answers for this node
    * @param accepted the links of this kind that are open
-   * @param sink takes note of decisions
    */
-  AcceptedLink(
-      PeerMesh mesh, PeerMesh.Owner owner, Set<PeerConnection> accepted, DecisionSink sink) {
+  AcceptedLink(PeerMesh mesh, PeerMesh.Owner owner, Set<PeerConnection> accepted) {
     this.mesh = mesh;
     this.owner = owner;
     this.accepted = accepted;
-    this.sink = sink;
   }
 
   @Override
@@ -59,6 +55,7 @@
       case NodeMessage.Ping ping ->
           connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
       case NodeMessage.Run run -> run(connection, run);
+      case NodeMessage.Piece piece -> piece(connection, piece);
       case NodeMessage.Cancel cancel -> {
         Runnable takeBack = runs.remove(cancel.stream());
         if (takeBack != null) {
@@ -71,35 +68,46 @@
   }
 
   private void run(PeerConnection connection, NodeMessage.Run run) {
-    int bytes = run.request().http().body().length;
-    if (bytes >= LARGE_BODY_BYTES) {
-      mesh.largeBodies().received(bytes, connection.frameMillis());
-      sink.decided(
-          "body-received",
-          run.request().id(),
-          "from",
-          sender,
-          "bytes",
-          bytes,
-          "tookMillis",
-          connection.frameMillis(),
-          "targetMillis",
-          run.request().targetMillis());
-    }
     boolean[] ended = new boolean[1];
+    Consumer<RunEnd> listener =
+        end -> {
+          ended[0] = true;
+          runs.remove(run.stream());
+          bodies.remove(run.stream());
+          connection.send(new NodeMessage.Ended(run.stream(), end, owner.load()));
+        };
     Runnable takeBack =
-        owner.run(
-            run.request(),
-            end -> {
-              ended[0] = true;
-              runs.remove(run.stream());
-              connection.send(new NodeMessage.Ended(run.stream(), end, owner.load()));
-            });
+        run.offeredBytes() > 0
+            ? offer(connection, run, listener)
+            : owner.upstream().run(run.request(), listener);
     if (!ended[0]) {
       runs.put(run.stream(), takeBack);
     }
   }
 
+  private Runnable offer(
+      PeerConnection connection, NodeMessage.Run run, Consumer<RunEnd> listener) {
+    IncomingBody body = mesh.bodies().offer(run, sender, connection, listener);
+    if (body == null) {
+      return () -> {};
+    }
+    bodies.put(run.stream(), body);
+    return body::cancel;
+  }
+
+  /** Takes in bytes of a body; those of a request that is over were under way when it ended. */
+  private void piece(PeerConnection connection, NodeMessage.Piece piece) {
+    IncomingBody body = bodies.get(piece.stream());
+    if (body == null) {
+      return;
+    }
+    try {
+      body.piece(piece.bytes());
+    } catch (IllegalArgumentException e) {
+      connection.end(e);
+    }
+  }
+
   @Override
   public void closed(PeerConnection connection, Throwable cause) {
     accepted.remove(connection);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -298,7 +298,11 @@
       return;
     }
     boolean near = upstream.domain().equals(mesh.self().domain());
-    double crossing = near ? SAME_DOMAIN_MILLIS : CROSS_DOMAIN_MILLIS;
+    int bodyBytes = call.exchange().request().body().length;
+    boolean offered = placed.peer() != null && bodyBytes >= SentRun.OFFERED_BYTES;
+    double crossing =
+        (near ? SAME_DOMAIN_MILLIS : CROSS_DOMAIN_MILLIS)
+            + (offered ? load.bodyMillis(bodyBytes) : 0);
     all.add(
         new Candidate(
             placed,
@@ -312,7 +316,8 @@
                 load.serviceMillis(),
                 load.failureShare(),
                 near,
-                crossing)));
+                crossing,
+                offered ? load.bodyWaitMillis() : 0)));
   }
 
   /**
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -17,8 +17,6 @@
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import io.hemlockbend.proxy.peer.Packing;
 import io.hemlockbend.proxy.peer.PeerException;
-import io.hemlockbend.proxy.peer.RunEnd;
-import io.hemlockbend.proxy.peer.RunRequest;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
 import io.hemlockbend.proxy.upstream.CrashWatch;
 import io.hemlockbend.proxy.upstream.LocalUpstream;
@@ -27,7 +25,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.io.EndPoint;
 
@@ -89,7 +86,7 @@
             crashes,
             this::announceSoon,
             durable::keepUpstream);
-    this.mesh = new PeerMesh(loop, settings.self(), this, sink);
+    this.mesh = new PeerMesh(loop, settings.self(), settings.intake(), this, sink);
     this.entry =
         new Entry(
             loop,
@@ -111,7 +108,7 @@
     loop.every(CHECK_MILLIS, catchUp::check);
   }
 
-  /** Returns the upstream beside the node. */
+  @Override
   public LocalUpstream upstream() {
     return upstream;
   }
@@ -260,14 +257,14 @@
         leaving,
         storeReachable,
         upstream.state() == UpstreamState.UNKNOWN ? null : upstream.record(),
-        upstream.load(),
+        load(),
         versions.moving() ? upstream.counts() : List.of(),
         versions.shares());
   }
 
   @Override
   public UpstreamLoad load() {
-    return upstream.load();
+    return mesh.bodies().told(upstream.load());
   }
 
   @Override
@@ -291,11 +288,6 @@
     crashes.merge(reports.stream().map(report -> report.shifted(nowMillis)).toList());
   }
 
-  @Override
-  public Runnable run(RunRequest request, Consumer<RunEnd> listener) {
-    return upstream.run(request, listener);
-  }
-
   @Override
   public void discovered(NodeInfo node) {
     sink.decided("node-found", null, "peer", node.node(), "address", node.address());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.traffic.ColdAllowance;
+import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.http.FieldNames;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import java.net.InetSocketAddress;
@@ -16,6 +17,7 @@
  * @param names the header fields with a meaning
  * @param entry bounds of the node as an entry
  * @param cold how far the rate of cold upstreams may be exceeded
+ * @param intake bounds of the large bodies that come in over the instance's link
  * @param graceMillis how long a stop may take
  */
 public record MeshSettings(
@@ -26,4 +28,5 @@
     FieldNames names,
     EntrySettings entry,
     ColdAllowance cold,
+    IntakeSettings intake,
     long graceMillis) {}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -3,13 +3,11 @@
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.PeerConnection;
-import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /** What this node knows of another one, and the requests that it runs for this node. */
 final class Peer {
@@ -24,7 +22,7 @@
   long pingedMillis;
   boolean dialing;
   double roundTripMillis;
-  private final Map<Long, Consumer<RunEnd>> runs = new HashMap<>();
+  private final Map<Long, SentRun> runs = new HashMap<>();
   private int outstandingAtLoad;
 
   Peer(NodeInfo info) {
@@ -43,11 +41,16 @@
     outstandingAtLoad = runs.size();
   }
 
-  void begun(long stream, Consumer<RunEnd> listener) {
-    runs.put(stream, listener);
+  void begun(long stream, SentRun run) {
+    runs.put(stream, run);
   }
 
-  Consumer<RunEnd> ended(long stream) {
+  /** Returns a request under way, or null. */
+  SentRun run(long stream) {
+    return runs.get(stream);
+  }
+
+  SentRun ended(long stream) {
     return runs.remove(stream);
   }
 
@@ -55,10 +58,10 @@
     return runs.size();
   }
 
-  /** Ends all requests under way, which may have run. */
+  /** Ends all requests under way; those that were sent whole may have run. */
   void loseAll(String reason) {
-    List<Consumer<RunEnd>> lost = new ArrayList<>(runs.values());
+    List<SentRun> lost = new ArrayList<>(runs.values());
     runs.clear();
-    lost.forEach(listener -> listener.accept(new RunEnd.Lost(reason)));
+    lost.forEach(run -> run.linkLost(reason));
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
+import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.loop.EventLoop;
 import io.hemlockbend.proxy.peer.NodeInfo;
@@ -11,6 +12,7 @@
 import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.RunRequest;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
+import io.hemlockbend.proxy.upstream.LocalUpstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -48,6 +50,7 @@
   private static final long MAX_REDIAL_MILLIS = 2_000;
   private static final long DIAL_TIMEOUT_MILLIS = 1_500;
   private static final long FETCH_AGAIN_MILLIS = 400;
+  private static final byte[] NO_BODY = new byte[0];
 
   /** What the rest of the node does for the links. */
   public interface Owner {
@@ -63,8 +66,8 @@
     /** Hears a report. */
     void reported(NodeId node, NodeReport report);
 
-    /** Runs a request on the upstream beside this node; returns what takes it back. */
-    Runnable run(RunRequest request, Consumer<RunEnd> listener);
+    /** Returns the upstream beside this node. */
+    LocalUpstream upstream();
 
     /** Hears of nodes that it did not know. */
     void discovered(NodeInfo node);
@@ -85,23 +88,25 @@
   private final DecisionSink sink;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private final Set<PeerConnection> accepted = new HashSet<>();
-  private final LargeBodies largeBodies = new LargeBodies();
+  private final BodyTransfers bodies;
   private long nextStream = 1;
   private long fetchedMillis;
   private boolean stopped;
 
   /** Makes the links of a node; none is open until nodes are known. */
-  public PeerMesh(EventLoop loop, NodeInfo self, Owner owner, DecisionSink sink) {
+  public PeerMesh(
+      EventLoop loop, NodeInfo self, IntakeSettings intake, Owner owner, DecisionSink sink) {
     this.loop = loop;
     this.self = self;
     this.owner = owner;
     this.sink = sink;
+    this.bodies = new BodyTransfers(loop, intake, owner, sink);
     loop.every(TICK_MILLIS, this::tick);
   }
 
   /** Makes the connection of a node that dialed this one. */
   public Connection accept(EndPoint endPoint) {
-    return new PeerConnection(endPoint, loop, new AcceptedLink(this, owner, accepted, sink));
+    return new PeerConnection(endPoint, loop, new AcceptedLink(this, owner, accepted));
   }
 
   /** Takes in where a node is; a later start of it replaces an earlier one. */
@@ -179,8 +184,13 @@
     }
     long stream = nextStream++;
     PeerConnection link = peer.link;
-    peer.begun(stream, listener);
-    link.send(new NodeMessage.Run(stream, request));
+    byte[] body = request.http().body();
+    boolean offered = body.length >= SentRun.OFFERED_BYTES;
+    peer.begun(stream, new SentRun(listener, offered ? body : NO_BODY));
+    link.send(
+        offered
+            ? new NodeMessage.Run(stream, request.withBody(NO_BODY), body.length)
+            : new NodeMessage.Run(stream, request, 0));
     return () -> {
       if (peer.ended(stream) != null) {
         link.send(new NodeMessage.Cancel(stream));
@@ -263,9 +273,9 @@
     return sum;
   }
 
-  /** Returns what came in large bodies. */
-  public LargeBodies largeBodies() {
-    return largeBodies;
+  /** Returns the large bodies that come in from other nodes. */
+  public BodyTransfers bodies() {
+    return bodies;
   }
 
   /** Returns how often each node is asked, so that a node's pings are bounded in a large mesh. */
@@ -327,10 +337,16 @@
       switch (message) {
         case NodeMessage.Report report -> reported(connection, report);
         case NodeMessage.Ended ended -> {
-          Consumer<RunEnd> listener = peer.ended(ended.stream());
+          SentRun run = peer.ended(ended.stream());
           peer.load(ended.load(), loop.millis());
-          if (listener != null) {
-            listener.accept(ended.end());
+          if (run != null) {
+            run.end(ended.end());
+          }
+        }
+        case NodeMessage.Ask ask -> {
+          SentRun run = peer.run(ask.stream());
+          if (run != null) {
+            run.send(ask, connection::send);
           }
         }
         case NodeMessage.Configuration document -> owner.document(document);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
@@ -48,7 +48,7 @@
     counter("loop_late_millis", "lateness of the loop's timers", page -> page.use().lateMillis());
     counter("large_bodies", "bodies from other nodes", page -> page.use().bodies());
     counter("large_body_bytes", "the bytes of these", page -> page.use().bodyBytes());
-    counter("large_body_millis", "from first to last byte", page -> page.use().bodyMillis());
+    counter("large_body_millis", "from offer to last byte", page -> page.use().bodyMillis());
     gauge("heap_bytes", "the heap in use", page -> page.use().heapBytes());
     gauge("peer_bytes_waiting", "bytes to be sent to nodes", page -> page.use().pendingBytes());
     gauge("open_requests", "callers' requests under way", NodeSnapshot::open);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/ProcessUse.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/ProcessUse.java
@@ -1,7 +1,7 @@
 package io.hemlockbend.proxy.metrics;
 
 import io.hemlockbend.proxy.loop.LoopWatch;
-import io.hemlockbend.proxy.mesh.LargeBodies;
+import io.hemlockbend.proxy.mesh.BodyTransfers;
 import io.hemlockbend.proxy.mesh.PeerMesh;
 
 /**
@@ -12,7 +12,7 @@
  * @param pendingBytes bytes that wait to be sent to other nodes
  * @param bodies large bodies that came from other nodes
  * @param bodyBytes the bytes of these
- * @param bodyMillis how long these took from their first byte to their last
+ * @param bodyMillis how long these took from their offer to their last byte
  */
 public record ProcessUse(
     long lateMillis,
@@ -27,7 +27,7 @@
   /** Takes the use of now; called on the event loop. */
   static ProcessUse of(LoopWatch watch, PeerMesh mesh) {
     Runtime runtime = Runtime.getRuntime();
-    LargeBodies large = mesh.largeBodies();
+    BodyTransfers large = mesh.bodies();
     return new ProcessUse(
         watch.lateMillis(),
         runtime.totalMemory() - runtime.freeMemory(),
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.peer;
 
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
+import java.nio.ByteBuffer;
 import java.util.List;
 
 /** A message between two nodes. */
@@ -25,9 +26,27 @@
    * Asks the receiver to run a request on its upstream.
    *
    * @param stream the request's number on this connection
-   * @param request the request
+   * @param request the request; without its body when that is offered
+   * @param offeredBytes the length of a body that follows in pieces as it is asked for; 0 when the
+   *     request is whole
    */
-  record Run(long stream, RunRequest request) implements NodeMessage {}
+  record Run(long stream, RunRequest request, int offeredBytes) implements NodeMessage {}
+
+  /**
+   * Asks for bytes of an offered body.
+   *
+   * @param stream the request's number on this connection
+   * @param untilBytes how many bytes from its beginning may be sent, with those sent before
+   */
+  record Ask(long stream, int untilBytes) implements NodeMessage {}
+
+  /**
+   * The next bytes of an offered body.
+   *
+   * @param stream the request's number on this connection
+   * @param bytes the bytes; not copied
+   */
+  record Piece(long stream, ByteBuffer bytes) implements NodeMessage {}
 
   /**
    * Tells how a request ended.
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.proxy.peer.NodeMessage.Ask;
 import io.hemlockbend.proxy.peer.NodeMessage.Cancel;
 import io.hemlockbend.proxy.peer.NodeMessage.Configuration;
 import io.hemlockbend.proxy.peer.NodeMessage.Crashes;
@@ -9,6 +10,7 @@
 import io.hemlockbend.proxy.peer.NodeMessage.Fetch;
 import io.hemlockbend.proxy.peer.NodeMessage.Hello;
 import io.hemlockbend.proxy.peer.NodeMessage.Orders;
+import io.hemlockbend.proxy.peer.NodeMessage.Piece;
 import io.hemlockbend.proxy.peer.NodeMessage.Ping;
 import io.hemlockbend.proxy.peer.NodeMessage.Report;
 import io.hemlockbend.proxy.peer.NodeMessage.Run;
@@ -32,6 +34,8 @@
   private static final int FETCH = 8;
   private static final int ORDERS = 9;
   private static final int CRASHES = 10;
+  private static final int ASK = 11;
+  private static final int PIECE = 12;
 
   private NodeMessageCodec() {}
 
@@ -75,7 +79,7 @@
         ReportCodec.write(packer, report.report());
       }
       case Run run -> {
-        packer.packInt(RUN).packLong(run.stream());
+        packer.packInt(RUN).packLong(run.stream()).packInt(run.offeredBytes());
         RunCodec.writeRequest(packer, run.request());
       }
       case Ended ended -> {
@@ -83,6 +87,12 @@
         RunCodec.writeEnd(packer, ended.end());
         ReportCodec.writeLoad(packer, ended.load());
       }
+      case Ask ask -> packer.packInt(ASK).packLong(ask.stream()).packInt(ask.untilBytes());
+      case Piece piece -> {
+        ByteBuffer bytes = piece.bytes();
+        packer.packInt(PIECE).packLong(piece.stream()).packBinaryHeader(bytes.remaining());
+        packer.addPayload(bytes.array(), bytes.arrayOffset() + bytes.position(), bytes.remaining());
+      }
       case Cancel cancel -> packer.packInt(CANCEL).packLong(cancel.stream());
       case Configuration configuration -> {
         packer.packInt(CONFIGURATION).packLong(configuration.version());
@@ -118,7 +128,17 @@
         yield new Hello(sender, known);
       }
       case REPORT -> new Report(unpacker.unpackLong(), ReportCodec.read(unpacker));
-      case RUN -> new Run(unpacker.unpackLong(), RunCodec.readRequest(unpacker));
+      case RUN -> {
+        long stream = unpacker.unpackLong();
+        int offeredBytes = unpacker.unpackInt();
+        yield new Run(stream, RunCodec.readRequest(unpacker), offeredBytes);
+      }
+      case ASK -> new Ask(unpacker.unpackLong(), unpacker.unpackInt());
+      case PIECE -> {
+        long stream = unpacker.unpackLong();
+        byte[] bytes = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        yield new Piece(stream, ByteBuffer.wrap(bytes));
+      }
       case ENDED -> {
         long stream = unpacker.unpackLong();
         RunEnd end = RunCodec.readEnd(unpacker);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -74,6 +74,7 @@
     packer.packInt(load.running()).packInt(load.queued());
     packer.packInt(load.patient()).packInt(load.late()).packInt(load.limit());
     packer.packDouble(load.serviceMillis()).packDouble(load.failureShare());
+    packer.packInt(load.bodyWaitMillis()).packInt(load.bodyBytesPerMilli());
   }
 
   static UpstreamLoad readLoad(MessageUnpacker unpacker) throws IOException {
@@ -83,8 +84,18 @@
     int late = unpacker.unpackInt();
     int limit = unpacker.unpackInt();
     double serviceMillis = unpacker.unpackDouble();
+    double failureShare = unpacker.unpackDouble();
+    int bodyWaitMillis = unpacker.unpackInt();
     return new UpstreamLoad(
-        running, queued, patient, late, limit, serviceMillis, unpacker.unpackDouble());
+        running,
+        queued,
+        patient,
+        late,
+        limit,
+        serviceMillis,
+        failureShare,
+        bodyWaitMillis,
+        unpacker.unpackInt());
   }
 
   private static void writeRecord(MessageBufferPacker packer, UpstreamRecord record)
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
@@ -27,4 +27,25 @@
     boolean idempotent,
     long targetMillis,
     long remainingMillis,
-    HttpRequest http) {}
+    HttpRequest http) {
+  /** Returns the request with another body. */
+  public RunRequest withBody(byte[] body) {
+    HttpRequest with = new HttpRequest(http.method(), http.target(), http.fields(), body);
+    return new RunRequest(
+        id, route, version, upstream, priority, idempotent, targetMillis, remainingMillis, with);
+  }
+
+  /** Returns the request as it is after some time. */
+  public RunRequest after(long millis) {
+    return new RunRequest(
+        id,
+        route,
+        version,
+        upstream,
+        priority,
+        idempotent,
+        Math.max(0, targetMillis - millis),
+        remainingMillis - millis,
+        http);
+  }
+}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/UpstreamLoad.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/UpstreamLoad.java
@@ -10,6 +10,9 @@
  * @param limit how many it may run at once now; 0 when it takes no work
  * @param serviceMillis how long a request usually takes, in milliseconds; 0 when not known
  * @param failureShare the share of its latest requests that failed, 0 to 1
+ * @param bodyWaitMillis how long a large body waits until it may be sent there, in milliseconds
+ * @param bodyBytesPerMilli how many bytes of large bodies its link carries in a millisecond; 0 when
+ *     that is not known
  */
 public record UpstreamLoad(
     int running,
@@ -18,7 +21,28 @@
     int late,
     int limit,
     double serviceMillis,
-    double failureShare) {
+    double failureShare,
+    int bodyWaitMillis,
+    int bodyBytesPerMilli) {
   /** The load of an upstream that takes no work. */
-  public static final UpstreamLoad CLOSED = new UpstreamLoad(0, 0, 0, 0, 0, 0, 0);
+  public static final UpstreamLoad CLOSED = new UpstreamLoad(0, 0, 0, 0, 0, 0, 0, 0, 0);
+
+  /** Returns this load with what is known of the way of large bodies to it. */
+  public UpstreamLoad withBodies(double waitMillis, double bytesPerMilli) {
+    return new UpstreamLoad(
+        running,
+        queued,
+        patient,
+        late,
+        limit,
+        serviceMillis,
+        failureShare,
+        (int) Math.ceil(waitMillis),
+        (int) bytesPerMilli);
+  }
+
+  /** Returns how long a body is on its way once it may be sent, in milliseconds. */
+  public double bodyMillis(int bytes) {
+    return bodyBytesPerMilli == 0 ? 0 : (double) bytes / bodyBytesPerMilli;
+  }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -178,6 +178,19 @@
     return pool.opened();
   }
 
+  /** Returns why the upstream takes no request now, or null when it does. */
+  public String closedReason() {
+    if (withdrawn) {
+      return "domain-withdrawn";
+    }
+    return state == UpstreamState.UP ? null : "upstream-" + state.name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns how long a request of a route usually takes, in milliseconds; 0 when not known. */
+  public double serviceMillis(String route) {
+    return state == UpstreamState.UNKNOWN ? 0 : runs.serviceMillis(route);
+  }
+
   /**
    * Runs a request.
    *
@@ -191,11 +204,10 @@
           note(run, end);
           listener.accept(end);
         };
-    if (state == UpstreamState.UP && !withdrawn) {
+    String reason = closedReason();
+    if (reason == null) {
       return runs.run(run, noted);
     }
-    String reason =
-        withdrawn ? "domain-withdrawn" : "upstream-" + state.name().toLowerCase(Locale.ROOT);
     noted.accept(new RunEnd.NotRun(reason));
     return () -> {};
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamRuns.java
@@ -121,7 +121,14 @@
         controller.queued(WaitingKind.LATE),
         controller.currentLimit(nowMillis),
         serviceMillis,
-        failures.share(nowMillis));
+        failures.share(nowMillis),
+        0,
+        0);
+  }
+
+  /** Returns how long a request of a route usually takes, in milliseconds; 0 when not known. */
+  double serviceMillis(String route) {
+    return controller.serviceMillis(new RouteName(route));
   }
 
   int running() {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -13,6 +13,7 @@
 import io.hemlockbend.core.traffic.TrafficService;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.core.traffic.WeightedService;
+import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.RawServer;
 import io.hemlockbend.proxy.http.FieldNames;
@@ -68,11 +69,7 @@
       InetSocketAddress peers = freeAddress();
       NodeInfo self =
           new NodeInfo(
-              new NodeId("n" + number),
-              "127.0.0.1",
-              peers.getPort(),
-              new FailureDomain(domain),
-              number);
+              new NodeId("n" + number), host, peers.getPort(), new FailureDomain(domain), number);
       MeshSettings settings =
           new MeshSettings(
               self,
@@ -82,6 +79,7 @@
               NAMES,
               ENTRY,
               ColdAllowance.NONE,
+              intake,
               GRACE_MILLIS);
       node =
           new MeshNode(
@@ -136,6 +134,9 @@
     }
   }
 
+  /** Bounds of the large bodies that come in at the nodes which are added from now on. */
+  IntakeSettings intake = IntakeSettings.UNKNOWN_RATE;
+
   final List<Member> members = new ArrayList<>();
   final ConcurrentLinkedQueue<String> ran = new ConcurrentLinkedQueue<>();
 
@@ -161,7 +162,7 @@
     members.add(member);
     NodeInfo there = other.node.mesh().self();
     NodeInfo behind =
-        new NodeInfo(there.node(), there.ip(), port, there.domain(), there.startedMillis());
+        new NodeInfo(there.node(), NarrowLink.HOST, port, there.domain(), there.startedMillis());
     member.on(() -> member.node.mesh().learn(behind));
     return member;
   }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/NarrowLink.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/NarrowLink.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,6 +15,8 @@
  * connection they are on. Bytes from it are not bounded.
  */
 final class NarrowLink implements AutoCloseable {
+  static final String HOST = "127.0.0.1";
+
   /** Small, so that a sender sees at once that the link is full. */
   private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -31,7 +32,7 @@
     this.target = target;
     this.bytesPerSecond = bytesPerSecond;
     server.setReceiveBufferSize(BUFFER_BYTES);
-    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    server.bind(new InetSocketAddress(HOST, 0));
     Thread.ofVirtual().start(this::accept);
   }
 
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/UploadsOnNarrowLinkTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/UploadsOnNarrowLinkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.RawServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -52,6 +53,7 @@
 
   @Test
   void uploadsBeyondTheLinkLeaveTheNodeReachableAndAreNeverLost() throws Exception {
+    mesh.intake = IntakeSettings.ofLink(BYTES_PER_SECOND);
     MeshFixture.Member beside = mesh.add("tunis", this::answerAll);
     List<MeshFixture.Member> entries = behindNarrowLink(beside);
     beside.announce(false, 0);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -28,7 +28,7 @@
   private static final VersionName V1 = new VersionName("v1");
   private static final NodeInfo NODE =
       new NodeInfo(new NodeId("n1"), "10.0.0.1", 8300, new FailureDomain("tunis"), 17);
-  private static final UpstreamLoad LOAD = new UpstreamLoad(3, 3, 2, 1, 9, 61.5, 0.25);
+  private static final UpstreamLoad LOAD = new UpstreamLoad(3, 3, 2, 1, 9, 61.5, 0.25, 140, 1_637);
 
   static List<NodeMessage> messages() {
     UpstreamRecord record =
@@ -49,6 +49,8 @@
         new NodeMessage.Hello(NODE, List.of(NODE)),
         new NodeMessage.Report(99, report),
         new NodeMessage.Cancel(6),
+        new NodeMessage.Ask(6, 65_536),
+        new NodeMessage.Piece(6, ByteBuffer.wrap(new byte[] {9, 0, -1, 13, 7}, 1, 3)),
         new NodeMessage.Ping(123),
         new NodeMessage.Crashes(
             List.of(new Suspicion(new RequestId("f"), List.of(new UpstreamId("i-1")), 600_000))),
@@ -77,7 +79,7 @@
     RunRequest run =
         new RunRequest(
             "id", "r1", new VersionKey(QUOTES, V1), new UpstreamId("i-1"), 1, false, -5, 900, http);
-    NodeMessage.Run read = (NodeMessage.Run) roundTrip(new NodeMessage.Run(6, run));
+    NodeMessage.Run read = (NodeMessage.Run) roundTrip(new NodeMessage.Run(6, run, 70_000));
     assertThat(read.request().http().body()).isEqualTo(body);
     assertThat(read.request().http().target()).isEqualTo("/a/b?c=%20");
     assertThat(read.request().targetMillis()).isEqualTo(-5);
