Refuse late bodies at once when others took their turn

Ruled out: slots, as those requests never reached the upstream. BodyIntake now takes out a late body that cannot be whole in time any more and of which no byte was asked for; its request has not run, and its caller hears so at once.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/transfer/BodyIntake.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/transfer/BodyIntake.java
@@ -28,13 +28,15 @@
   private static final class Body {
     private final int length;
     private final boolean late;
+    private final double neededMillis;
     private int asked;
     private int here;
     private long movedMillis;
 
-    Body(int length, boolean late) {
+    Body(int length, boolean late, double neededMillis) {
       this.length = length;
       this.late = late;
+      this.neededMillis = neededMillis;
     }
 
     int missing() {
@@ -57,16 +59,43 @@
    * @param length its length in bytes; more than 0
    * @param late whether its request is late already
    * @param availableMillis how long the body may take until it is here
+   * @param nowMillis the time
    * @return whether the body will come in; false when it would not be whole in time
    */
-  public boolean offer(long number, int length, boolean late, double availableMillis) {
+  public boolean offer(
+      long number, int length, boolean late, double availableMillis, long nowMillis) {
     if (waitMillis(late) + millis(length) > availableMillis) {
       return false;
     }
-    bodies.put(number, new Body(length, late));
+    bodies.put(number, new Body(length, late, nowMillis + availableMillis));
     return true;
   }
 
+  /**
+   * Takes out the late bodies that cannot be whole in time any more, as others that are not late
+   * have come before them; no byte of them was asked for.
+   *
+   * @return their numbers
+   */
+  public List<Long> overtaken(long nowMillis) {
+    List<Long> overtaken = new ArrayList<>(0);
+    double aheadMillis = waitMillis(false);
+    for (Map.Entry<Long, Body> entry : bodies.entrySet()) {
+      Body body = entry.getValue();
+      if (!body.late) {
+        continue;
+      }
+      double wholeMillis = nowMillis + aheadMillis + millis(body.length);
+      if (body.asked == 0 && wholeMillis > body.neededMillis) {
+        overtaken.add(entry.getKey());
+      } else {
+        aheadMillis += millis(body.missing());
+      }
+    }
+    overtaken.forEach(bodies::remove);
+    return overtaken;
+  }
+
   /** Returns which bytes may now be sent, beyond those asked for before. */
   public List<Ask> asks(long nowMillis) {
     List<Ask> asks = new ArrayList<>();
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/transfer/BodyIntakeTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/transfer/BodyIntakeTest.java
@@ -26,8 +26,8 @@
 
   @Test
   void asksForNoMoreThanTheWindowAndInTheOrderOfTheOffers() {
-    assertThat(intake.offer(1, 300_000, false, 10_000)).isTrue();
-    assertThat(intake.offer(2, 300_000, false, 10_000)).isTrue();
+    assertThat(intake.offer(1, 300_000, false, 10_000, 0)).isTrue();
+    assertThat(intake.offer(2, 300_000, false, 10_000, 0)).isTrue();
     assertThat(intake.asks(0)).containsExactly(new Ask(1, 64_000), new Ask(2, 32_000));
     assertThat(intake.asks(0)).isEmpty();
     intake.arrived(1, 16_000, 1);
@@ -36,29 +36,49 @@
 
   @Test
   void refusesBodyThatWouldNotBeWholeInTime() {
-    assertThat(intake.offer(1, 300_000, false, 300)).isTrue();
+    assertThat(intake.offer(1, 300_000, false, 300, 0)).isTrue();
     assertThat(intake.waitMillis(false)).isEqualTo(300);
-    assertThat(intake.offer(2, 200_000, false, 499)).isFalse();
-    assertThat(intake.offer(3, 200_000, false, 500)).isTrue();
+    assertThat(intake.offer(2, 200_000, false, 499, 0)).isFalse();
+    assertThat(intake.offer(3, 200_000, false, 500, 0)).isTrue();
   }
 
   @Test
   void lateBodiesWaitBehindAllOthersAndHoldNoneUp() {
-    intake.offer(1, 300_000, true, 10_000);
+    intake.offer(1, 300_000, true, 10_000, 0);
     assertThat(intake.waitMillis(false)).isZero();
     assertThat(intake.asks(0)).containsExactly(new Ask(1, 64_000));
-    intake.offer(2, 300_000, false, 10_000);
+    intake.offer(2, 300_000, false, 10_000, 0);
     assertThat(intake.waitMillis(true)).isEqualTo(600);
     assertThat(intake.asks(0)).containsExactly(new Ask(2, 32_000));
     intake.arrived(1, 64_000, 1);
     assertThat(intake.asks(1)).containsExactly(new Ask(2, 64_000), new Ask(1, 96_000));
   }
 
+  @Test
+  void lateBodyThatOthersOvertookIsTakenOutOnceItCannotBeWholeInTime() {
+    intake.offer(1, 300_000, false, 10_000, 0);
+    intake.asks(0);
+    assertThat(intake.offer(2, 200_000, true, 600, 0)).isTrue();
+    assertThat(intake.overtaken(0)).isEmpty();
+    intake.offer(3, 300_000, false, 10_000, 10);
+    assertThat(intake.overtaken(10)).containsExactly(2L);
+    assertThat(intake.size()).isEqualTo(2);
+    assertThat(intake.overtaken(10)).isEmpty();
+  }
+
+  @Test
+  void lateBodyThatHasBegunIsNotTakenOut() {
+    intake.offer(1, 200_000, true, 300, 0);
+    intake.asks(0);
+    intake.offer(2, 300_000, false, 10_000, 10);
+    assertThat(intake.overtaken(10)).isEmpty();
+  }
+
   /** A sender that went silent must not keep the link from the others. */
   @Test
   void stalledBodyGivesItsShareOfTheWindowBack() {
-    intake.offer(1, 64_000, false, 10_000);
-    intake.offer(2, 300_000, false, 10_000);
+    intake.offer(1, 64_000, false, 10_000, 0);
+    intake.offer(2, 300_000, false, 10_000, 0);
     intake.asks(0);
     intake.arrived(2, 32_000, STALL_MILLIS);
     assertThat(intake.asks(STALL_MILLIS)).containsExactly(new Ask(2, 64_000));
@@ -68,8 +88,8 @@
 
   @Test
   void wholeBodyAndRemovedOneAreForgotten() {
-    intake.offer(1, 20_000, false, 10_000);
-    intake.offer(2, 20_000, false, 10_000);
+    intake.offer(1, 20_000, false, 10_000, 0);
+    intake.offer(2, 20_000, false, 10_000, 0);
     intake.asks(0);
     assertThat(intake.arrived(1, 10_000, 1)).isFalse();
     assertThat(intake.arrived(1, 10_000, 1)).isTrue();
@@ -81,7 +101,7 @@
 
   @Test
   void rejectsBytesThatWereNotAskedFor() {
-    intake.offer(1, 300_000, false, 10_000);
+    intake.offer(1, 300_000, false, 10_000, 0);
     intake.asks(0);
     assertThatThrownBy(() -> intake.arrived(1, 64_001, 1))
         .isInstanceOf(IllegalArgumentException.class);
@@ -105,7 +125,7 @@
     for (long now = 0; now < length; now++) {
       if (random.nextInt(140) == 0) {
         long number = now + 1;
-        if (intake.offer(number, 280_000, false, 1_000)) {
+        if (intake.offer(number, 280_000, false, 1_000, now)) {
           dueMillis.put(number, now + 1_000);
           sent.put(number, 0);
         }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
@@ -61,7 +61,7 @@
     long ofUseMillis = late ? request.remainingMillis() : request.targetMillis();
     double availableMillis = ofUseMillis - owner.upstream().serviceMillis(request.route());
     long number = ++lastNumber;
-    if (!intake.offer(number, run.offeredBytes(), late, availableMillis)) {
+    if (!intake.offer(number, run.offeredBytes(), late, availableMillis, loop.millis())) {
       refuse(request, run.offeredBytes(), "link-full", listener);
       return null;
     }
@@ -137,13 +137,26 @@
   }
 
   private void ask() {
+    intake.overtaken(loop.millis()).forEach(this::overtaken);
     for (BodyIntake.Ask ask : intake.asks(loop.millis())) {
       coming.get(ask.number()).ask(ask.untilBytes());
     }
   }
 
+  /** Ends a request that waited as late: others that are in time took its turn. */
+  private void overtaken(long number) {
+    IncomingBody body = coming.get(number);
+    noteRefused(body.request(), body.offeredBytes(), "link-full");
+    body.end(new RunEnd.NotRun("link-full"));
+  }
+
   private void refuse(
       RunRequest request, int offeredBytes, String reason, Consumer<RunEnd> listener) {
+    noteRefused(request, offeredBytes, reason);
+    listener.accept(new RunEnd.NotRun(reason));
+  }
+
+  private void noteRefused(RunRequest request, int offeredBytes, String reason) {
     sink.decided(
         "not-run",
         request.id(),
@@ -161,6 +174,5 @@
         request.remainingMillis(),
         "targetMillis",
         request.targetMillis());
-    listener.accept(new RunEnd.NotRun(reason));
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/IncomingBody.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/IncomingBody.java
@@ -52,6 +52,10 @@
     return run.request();
   }
 
+  int offeredBytes() {
+    return run.offeredBytes();
+  }
+
   NodeId from() {
     return from;
   }
