Give test nodes ports that nothing else can take

MeshNodeTest.coldUpstreamGetsNoMoreThanItBearsInAnySecond failed once in about 25 runs beside load with a timeout in MeshFixture (KNOWN-RED.txt). Cause: the fixture looked for a free port, closed it and let the node bind it later; in between a connection of any process could take it, or the node's other listener. The bind failed in a task whose failure was not shown then. A first try with an address of its own alone still failed once in about 2,400, when both listeners of a node drew the same port.

Nodes of a fixture now have a loopback address and ports of their own.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -115,11 +115,12 @@
   /**
    * Listens on an address; may be called before {@link #start}.
    *
-   * @param address where
+   * @param address where; a port of 0 stands for any that is free
    * @param factory makes the connection of each caller
+   * @return the address with the port that is used
    * @throws UncheckedIOException when the address cannot be bound
    */
-  public void listen(InetSocketAddress address, ConnectionFactory factory) {
+  public InetSocketAddress listen(InetSocketAddress address, ConnectionFactory factory) {
     try {
       ServerSocketChannel channel = ServerSocketChannel.open();
       channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -129,6 +130,7 @@
       byLocalAddress.put(bound, factory);
       listeners.put(channel, factory);
       manager.acceptor(channel);
+      return bound;
     } catch (IOException e) {
       throw new UncheckedIOException("cannot listen on " + address, e);
     }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/http/HttpServerConnectionTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/http/HttpServerConnectionTest.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -30,27 +29,22 @@
   private InetSocketAddress address;
 
   @BeforeEach
-  void start() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-    }
+  void start() {
     loop.start();
-    CompletableFuture<Void> listening = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          loop.listen(
-              address,
-              endPoint ->
-                  new HttpServerConnection(
-                      endPoint,
-                      loop,
-                      () -> LIMITS,
-                      () -> leaving,
-                      exchange -> handler.accept(exchange),
-                      ended -> {}));
-          listening.complete(null);
-        });
-    listening.join();
+    address = CompletableFuture.supplyAsync(this::listen, loop::execute).join();
+  }
+
+  private InetSocketAddress listen() {
+    return loop.listen(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        endPoint ->
+            new HttpServerConnection(
+                endPoint,
+                loop,
+                () -> LIMITS,
+                () -> leaving,
+                exchange -> handler.accept(exchange),
+                ended -> {}));
   }
 
   @AfterEach
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -22,9 +22,7 @@
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -34,6 +32,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -51,13 +50,19 @@
 
   private static final long UPLOAD_TARGET_MILLIS = 3_000;
   private static final int WAIT_SECONDS = 10;
+  private static final int OCTET = 250;
+
+  /** Below the ports that the operating system chooses for connections. */
+  private static final int FIRST_PORT = 10_000;
+
+  private static final AtomicInteger FIXTURES = new AtomicInteger();
 
   /** A node and its upstream. */
   final class Member {
     final EventLoop loop = new EventLoop();
     final RawServer upstream;
     final MeshNode node;
-    final InetSocketAddress callers = freeAddress();
+    final InetSocketAddress callers = ownAddress();
     final UpstreamId id;
     final List<MoveOrder> kept = new CopyOnWriteArrayList<>();
     private final AtomicLong sequence = new AtomicLong();
@@ -66,7 +71,7 @@
     Member(int number, String domain, RawServer.Script script) {
       upstream = new RawServer(script);
       id = new UpstreamId("i-" + number);
-      InetSocketAddress peers = freeAddress();
+      InetSocketAddress peers = ownAddress();
       NodeInfo self =
           new NodeInfo(
               new NodeId("n" + number), host, peers.getPort(), new FailureDomain(domain), number);
@@ -134,6 +139,9 @@
     }
   }
 
+  private final String host = ownHost();
+  private int ports;
+
   /** Bounds of the large bodies that come in at the nodes which are added from now on. */
   IntakeSettings intake = IntakeSettings.UNKNOWN_RATE;
 
@@ -224,12 +232,24 @@
         CallerLimits.DEFAULT);
   }
 
-  private static InetSocketAddress freeAddress() {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-    } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
-    }
+  /**
+   * Returns a loopback address that nothing else uses: a port of the common one that was free a
+   * moment ago may since be that of a connection which some process opened.
+   */
+  private static String ownHost() {
+    long pid = ProcessHandle.current().pid();
+    int fixture = FIXTURES.incrementAndGet();
+    return "127."
+        + (1 + pid % OCTET)
+        + "."
+        + (1 + pid / OCTET % OCTET)
+        + "."
+        + (1 + fixture % OCTET);
+  }
+
+  private InetSocketAddress ownAddress() {
+    ports++;
+    return new InetSocketAddress(host, FIRST_PORT + ports);
   }
 
   private record Kept(Member member) implements DurableState {
