Bound answers without end in memory, number and turn

What callers would have seen: an upstream that sends interim answers (1xx) or answers to other requests without end kept the event loop in one read, so that no other request, no deadline and no ping was handled; a few bodies at once filled the heap of 96 MB, as each could have 32 MB; a health check without an answer was never given up, so that no other was sent.

Change: an exchange drops at most 16 interim or foreign answers. Room is made as bytes come, whatever length is stated. A connection is read four times at most, then it is the others' turn. A health check is given up after a second.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.http;
 
+import io.hemlockbend.core.transfer.HeldBytes;
 import io.hemlockbend.proxy.loop.EventLoop;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -19,13 +20,19 @@
 /**
  * A connection to a server that runs one request at a time. An answer is given on only when it is
  * whole and bears the id of the request that waits; an answer to another request is dropped, and
- * bytes that no request asked for end the connection.
+ * bytes that no request asked for end the connection. So do too many interim answers or answers to
+ * other requests, and an answer that holds more than all others when their bound is reached.
  */
 public final class HttpClientConnection extends LoopConnection
     implements HttpParser.ResponseHandler {
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
   private static final int MAX_HEAD_BYTES = 64 * 1024;
-  private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+  /** From which length on room for a body is made as it comes, whatever length it states. */
+  private static final int EXPECTED_BYTES = 64 * 1024;
+
+  /** More interim answers than any server has reason to send to one request. */
+  private static final int MAX_DROPPED_ANSWERS = 16;
 
   /** Hears how the request ended; one of the methods is called, once. */
   public interface Listener {
@@ -48,12 +55,14 @@
   private final HttpParser parser;
   private final String idField;
   private final BodyBuffer body = new BodyBuffer();
+  private final HeldBytes<HttpClientConnection> held;
   private final Runnable endedListener;
   private List<HttpField> fields = new ArrayList<>();
   private Listener listener;
   private String expectedId;
   private int status;
   private long answeredMillis;
+  private int dropped;
   private boolean parsing;
   private boolean crossed;
   private boolean completedInParse;
@@ -64,12 +73,18 @@
    * @param endPoint the server's end point
    * @param loop the event loop
    * @param idField the header field that names the request in requests and answers
+   * @param held bounds the bytes of all answers that are not whole
    * @param endedListener hears that the connection is over
    */
   public HttpClientConnection(
-      EndPoint endPoint, EventLoop loop, String idField, Runnable endedListener) {
+      EndPoint endPoint,
+      EventLoop loop,
+      String idField,
+      HeldBytes<HttpClientConnection> held,
+      Runnable endedListener) {
     super(endPoint, loop);
     this.idField = idField;
+    this.held = held;
     this.endedListener = endedListener;
     this.parser = new HttpParser(this, MAX_HEAD_BYTES, HttpCompliance.RFC7230);
     this.answeredMillis = loop.millis();
@@ -87,6 +102,7 @@
       throw new IllegalStateException("the connection is not free");
     }
     listener = hears;
+    dropped = 0;
     expectedId = request.field(idField);
     parser.setHeadResponse("HEAD".equals(request.method()));
     outbox().add(HttpMessages.requestHead(request));
@@ -135,6 +151,7 @@
 
   @Override
   protected void ended(Throwable cause) {
+    held.release(this);
     fail(cause == null ? "connection closed" : "connection broke: " + cause.getMessage());
     endedListener.run();
   }
@@ -153,16 +170,23 @@
 
   @Override
   public boolean headerComplete() {
-    body.expect(parser.getContentLength(), MAX_BODY_BYTES);
+    body.expect(Math.min(parser.getContentLength(), EXPECTED_BYTES), EXPECTED_BYTES);
     return false;
   }
 
   @Override
   public boolean content(ByteBuffer piece) {
-    if (!body.add(piece, MAX_BODY_BYTES)) {
-      end(new HttpException.RuntimeException(HttpStatus.BAD_GATEWAY_502, "body too large"));
-      return true;
+    HttpClientConnection largest = held.add(this, piece.remaining());
+    while (largest != null) {
+      largest.end(
+          new IllegalStateException(
+              "its answer held most of the " + held.boundBytes() + " bytes for all"));
+      if (largest == this) {
+        return true;
+      }
+      largest = held.over();
     }
+    body.add(piece, held.boundBytes());
     return false;
   }
 
@@ -190,12 +214,15 @@
   private void deliver(boolean moreBytes) {
     parsing = false;
     byte[] bytes = body.take();
+    held.release(this);
     if (HttpStatus.isInformational(status) || listener == null) {
+      drop();
       return;
     }
     String id = HttpMessages.value(fields, idField);
     if (id != null && expectedId != null && !id.equals(expectedId)) {
       crossed = true;
+      drop();
       return;
     }
     boolean reusable = !moreBytes && !crossed && !closes() && outbox().drained() && !isOver();
@@ -209,6 +236,13 @@
     hears.answered(reply, reusable);
   }
 
+  private void drop() {
+    dropped++;
+    if (dropped > MAX_DROPPED_ANSWERS) {
+      end(new IllegalStateException(dropped + " answers came before the one that is due"));
+    }
+  }
+
   private boolean closes() {
     String connection = HttpMessages.value(fields, HttpHeader.CONNECTION.asString());
     return connection != null && connection.equalsIgnoreCase("close");
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/LoopConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/LoopConnection.java
@@ -15,6 +15,10 @@
  */
 public abstract class LoopConnection extends AbstractConnection {
   private static final int READ_BYTES = 64 * 1024;
+
+  /** A peer that sends faster than its bytes are handled must not keep the loop from all others. */
+  private static final int MAX_READS_PER_TURN = 4;
+
   private static final ThreadLocal<ByteBuffer> READ_BUFFER =
       ThreadLocal.withInitial(() -> BufferUtil.allocate(READ_BYTES));
 
@@ -80,7 +84,11 @@
   public void onFillable() {
     ByteBuffer buffer = READ_BUFFER.get();
     try {
-      while (!ended) {
+      for (int reads = 0; !ended; reads++) {
+        if (reads == MAX_READS_PER_TURN) {
+          loop.execute(this::onFillable);
+          return;
+        }
         BufferUtil.clear(buffer);
         int filled = getEndPoint().fill(buffer);
         if (filled == 0) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/HealthProbe.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/HealthProbe.java
@@ -3,6 +3,8 @@
 import io.hemlockbend.proxy.http.FieldNames;
 import io.hemlockbend.proxy.http.HttpReply;
 import io.hemlockbend.proxy.http.HttpRequest;
+import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.loop.Timer;
 import java.util.List;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
@@ -12,6 +14,9 @@
 final class HealthProbe {
   private static final byte[] NO_BODY = new byte[0];
 
+  /** As long as a connection may take; an upstream that takes longer is of no use. */
+  private static final long TIMEOUT_MILLIS = 1_000;
+
   /**
    * What the upstream said.
    *
@@ -23,16 +28,18 @@
     static final Health SILENT = new Health(false, null, -1);
   }
 
+  private final EventLoop loop;
   private final UpstreamPool pool;
   private final FieldNames names;
   private boolean asking;
 
-  HealthProbe(UpstreamPool pool, FieldNames names) {
+  HealthProbe(EventLoop loop, UpstreamPool pool, FieldNames names) {
+    this.loop = loop;
     this.pool = pool;
     this.names = names;
   }
 
-  /** Asks once, unless a question is open. */
+  /** Asks once, unless a question is open; one without an answer in time is given up. */
   void ask(String path, String host, Consumer<Health> listener) {
     if (asking) {
       return;
@@ -40,30 +47,9 @@
     asking = true;
     HttpRequest request =
         new HttpRequest("GET", path, List.of(new HttpField("Host", host)), NO_BODY);
-    pool.call(
-        request,
-        0,
-        new UpstreamPool.Listener() {
-          @Override
-          public void answered(HttpReply reply) {
-            done(health(reply));
-          }
-
-          @Override
-          public void notSent(String reason) {
-            done(Health.SILENT);
-          }
-
-          @Override
-          public void lost(String reason) {
-            done(Health.SILENT);
-          }
-
-          private void done(Health health) {
-            asking = false;
-            listener.accept(health);
-          }
-        });
+    Question question = new Question(listener);
+    question.call = pool.call(request, 0, question);
+    question.timeout = loop.after(TIMEOUT_MILLIS, question::giveUp);
   }
 
   private Health health(HttpReply reply) {
@@ -77,4 +63,40 @@
     return new Health(
         reply.status() == HttpStatus.OK_200, reply.field(names.upstreamId()), coldMillis);
   }
+
+  private final class Question implements UpstreamPool.Listener {
+    private final Consumer<Health> listener;
+    private UpstreamPool.Call call;
+    private Timer timeout;
+
+    Question(Consumer<Health> listener) {
+      this.listener = listener;
+    }
+
+    @Override
+    public void answered(HttpReply reply) {
+      done(health(reply));
+    }
+
+    @Override
+    public void notSent(String reason) {
+      done(Health.SILENT);
+    }
+
+    @Override
+    public void lost(String reason) {
+      done(Health.SILENT);
+    }
+
+    private void giveUp() {
+      call.cancel();
+      done(Health.SILENT);
+    }
+
+    private void done(Health health) {
+      timeout.cancel();
+      asking = false;
+      listener.accept(health);
+    }
+  }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.traffic.ColdRate;
 import io.hemlockbend.core.traffic.TrafficService;
 import io.hemlockbend.core.traffic.UpstreamRecord;
+import io.hemlockbend.core.transfer.HeldBytes;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.http.FieldNames;
 import io.hemlockbend.proxy.loop.EventLoop;
@@ -26,6 +27,11 @@
   private static final long MAX_PROBE_MILLIS = 1_000;
   private static final int LOST_TO_DOWN = 3;
 
+  /**
+   * One part of so many of the heap is for answers that are not whole; buffers grow by doubling.
+   */
+  private static final int ANSWERS_HEAP_PARTS = 8;
+
   private final EventLoop loop;
   private final UpstreamPool pool;
   private final UpstreamRuns runs;
@@ -71,8 +77,13 @@
     this.changed = changed;
     this.began = began;
     this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
-    this.pool = new UpstreamPool(loop, address, names.requestId());
-    this.probe = new HealthProbe(pool, names);
+    this.pool =
+        new UpstreamPool(
+            loop,
+            address,
+            names.requestId(),
+            new HeldBytes<>(Runtime.getRuntime().maxMemory() / ANSWERS_HEAP_PARTS));
+    this.probe = new HealthProbe(loop, pool, names);
     this.runs = new UpstreamRuns(loop, pool, names, coldRate, crashes, new RunObserver());
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamPool.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamPool.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.upstream;
 
+import io.hemlockbend.core.transfer.HeldBytes;
 import io.hemlockbend.proxy.http.HttpClientConnection;
 import io.hemlockbend.proxy.http.HttpReply;
 import io.hemlockbend.proxy.http.HttpRequest;
@@ -98,6 +99,7 @@
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final String idField;
+  private final HeldBytes<HttpClientConnection> held;
   private final ArrayDeque<Idle> idle = new ArrayDeque<>();
   private long opened;
 
@@ -107,11 +109,17 @@
    * @param loop the event loop
    * @param address the server's address
    * @param idField the header field that names a request
+   * @param held bounds the bytes of all answers that are not whole
    */
-  public UpstreamPool(EventLoop loop, InetSocketAddress address, String idField) {
+  public UpstreamPool(
+      EventLoop loop,
+      InetSocketAddress address,
+      String idField,
+      HeldBytes<HttpClientConnection> held) {
     this.loop = loop;
     this.address = address;
     this.idField = idField;
+    this.held = held;
   }
 
   /**
@@ -153,7 +161,8 @@
         endPoint -> {
           ConnectionHolder holder = new ConnectionHolder();
           HttpClientConnection connection =
-              new HttpClientConnection(endPoint, loop, idField, () -> forget(holder.connection));
+              new HttpClientConnection(
+                  endPoint, loop, idField, held, () -> forget(holder.connection));
           holder.connection = connection;
           loop.execute(() -> call.start(connection));
           return connection;
