Keep a whole body where it is when its request has become late

Its request now waits as late where its body is, and goes back only when that is refused too. Ruled out: keeping such requests in time, since others would miss their targets for them.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
@@ -129,7 +129,14 @@
         body.waitedMillis(),
         "targetMillis",
         body.request().targetMillis());
-    return owner.upstream().run(body.request().withBody(content).after(tookMillis), listener);
+    WholeBodyRun run =
+        new WholeBodyRun(
+            owner.upstream()::run,
+            body.request().withBody(content).after(tookMillis),
+            loop::millis,
+            listener);
+    run.start();
+    return run::takeBack;
   }
 
   long nowMillis() {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
@@ -37,15 +37,16 @@
 
   /** Returns the request as it is after some time. */
   public RunRequest after(long millis) {
+    return withTimes(Math.max(0, targetMillis - millis), remainingMillis - millis);
+  }
+
+  /** Returns the request as one that is late already. */
+  public RunRequest late() {
+    return withTimes(0, remainingMillis);
+  }
+
+  private RunRequest withTimes(long target, long remaining) {
     return new RunRequest(
-        id,
-        route,
-        version,
-        upstream,
-        priority,
-        idempotent,
-        Math.max(0, targetMillis - millis),
-        remainingMillis - millis,
-        http);
+        id, route, version, upstream, priority, idempotent, target, remaining, http);
   }
 }
