Say that a connection ends whose request was refused unread

Cause, from the code: refusals for the token, the role, the path or the method are written before the body is read, Jetty ends such a connection, and the answer did not say so. Ruled out: a stopped server, as the other requests of the test were answered. The failure itself was not played again; the new test sends a head alone and failed before (no Connection: close in 30 s), and passes. Such answers now say that the connection ends, so that callers open another one.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admin/AdministrationHandler.java
@@ -39,6 +39,9 @@
   /** How long a body may take by default. */
   public static final long BODY_TIMEOUT_MILLIS = 5_000;
 
+  /** The attribute of a request that holds its body once that was read whole. */
+  private static final String BODY_READ = AdministrationHandler.class.getName() + ".body";
+
   private static final Logger LOGGER = LogManager.getLogger(AdministrationHandler.class);
   private static final String JSON = "application/json";
 
@@ -86,7 +89,7 @@
         .orElseGet(() -> failed(ProblemKey.NOT_FOUND, "there is no command at this path"))
         .handle(
             (answer, failure) -> {
-              write(response, callback, answer, failure);
+              write(request, response, callback, answer, failure);
               return null;
             });
     return true;
@@ -131,6 +134,7 @@
     CompletableFuture<byte[]> whole = new CompletableFuture<>();
     Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES, Promise.Invocable.toPromise(whole));
     return whole
+        .whenComplete((bytes, failure) -> request.setAttribute(BODY_READ, bytes))
         .orTimeout(bodyTimeoutMillis, TimeUnit.MILLISECONDS)
         .exceptionallyCompose(failure -> unreadable(request, PlatformFailures.cause(failure)));
   }
@@ -173,25 +177,32 @@
     };
   }
 
-  private void write(Response response, Callback callback, Object answer, Throwable failure) {
+  private void write(
+      Request request, Response response, Callback callback, Object answer, Throwable failure) {
     Object body = answer;
     int status = HttpStatus.OK_200;
     if (failure != null) {
       Problem problem = problem(failure);
       body = problem;
       status = problem.problem().status();
-      closeAfterRefusedBody(response, problem.problem());
+      if (problem.problem() == ProblemKey.UNAUTHENTICATED) {
+        response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+      }
     }
+    closeBehindUnreadBody(request, response);
     response.setStatus(status);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON);
     response.write(true, ByteBuffer.wrap(codec.encode(body)), callback);
   }
 
-  private static void closeAfterRefusedBody(Response response, ProblemKey key) {
-    if (key == ProblemKey.UNAUTHENTICATED) {
-      response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
-    }
-    if (key == ProblemKey.TIMEOUT || key == ProblemKey.TOO_LARGE) {
+  /**
+   * Tells the caller that its connection ends. Jetty ends one whose request was not read whole; a
+   * caller that was not told would lose its next request there.
+   */
+  private static void closeBehindUnreadBody(Request request, Response response) {
+    boolean body =
+        request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    if (body && request.getAttribute(BODY_READ) == null) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
   }
--- a/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
+++ b/hemlockbend-node/src/test/java/io/hemlockbend/node/admin/AdministrationHandlerTest.java
@@ -201,6 +201,21 @@
     assertThat(audit()).contains("anonymous stage UNAUTHENTICATED", "lim stage FORBIDDEN");
   }
 
+  /** Such connections ended without notice, and callers lost the next request on them. */
+  @Test
+  void refusalBeforeTheBodyCameSaysThatTheConnectionEnds() throws Exception {
+    for (String path : List.of(AdminPaths.STAGE, AdminPaths.PREFIX + "nothing")) {
+      try (Socket socket = new Socket("127.0.0.1", api.port())) {
+        String head =
+            "POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 100\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        String answer =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(answer).matches("(?s)HTTP/1.1 40[14].*").contains("Connection: close");
+      }
+    }
+  }
+
   @Test
   void malformedRequestsAreToldWhatIsWrong() {
     String body = "{\"service\":\"quotes\",\"to\":\"v2\",\"deadlineMillis\":\"x\",\"commit\":null}";
