Halve what the nodes of a large mesh say to each other

Cause: messages between nodes grow with the square of their number. At 85 nodes each pinged 84 others a second and answered as many; each greeting carried all 85 nodes, 7,140 times at a start, about half a megabyte in and out of links of 15 Mbit/s while configurations are to come in; and each node told all others of each version of the configuration and the orders, 7,140 reports a version, though two nodes of each failure domain follow the store.

Change: a ping carries its sender's report, so that the two nodes of a pair ping by turns (PingSchedule); each link is still pinged every second period, and one whose ping stays unanswered for a period is not used, whatever its node says on another link. A greeting tells how many nodes its sender knows; a node that knows fewer asks one of them (NodeCensus). Only what comes from the store is announced at once, encoded once for all; nodes ask one of their own failure domain, or another one when none there is ahead. Entries read the clock once a choice.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
@@ -18,7 +18,7 @@
  */
 final class AcceptedLink implements PeerConnection.Listener {
   private final PeerMesh mesh;
-  private final PeerMesh.Owner owner;
+  private final MeshOwner owner;
   private final Set<PeerConnection> accepted;
 
   private final Map<Long, Runnable> runs = new TreeMap<>();
@@ -32,7 +32,7 @@
    * @param owner answers for this node
    * @param accepted the links of this kind that are open
    */
-  AcceptedLink(PeerMesh mesh, PeerMesh.Owner owner, Set<PeerConnection> accepted) {
+  AcceptedLink(PeerMesh mesh, MeshOwner owner, Set<PeerConnection> accepted) {
     this.mesh = mesh;
     this.owner = owner;
     this.accepted = accepted;
@@ -49,11 +49,12 @@
       case NodeMessage.Hello hello -> {
         sender = hello.sender().node();
         mesh.learn(hello.sender());
-        hello.known().forEach(mesh::learn);
-        owner.greeted();
+        mesh.told(hello.known());
+      }
+      case NodeMessage.Ping ping -> {
+        connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
+        mesh.pingedBy(ping.report());
       }
-      case NodeMessage.Ping ping ->
-          connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
       case NodeMessage.Run run -> run(connection, run);
       case NodeMessage.Piece piece -> piece(connection, piece);
       case NodeMessage.Cancel cancel -> {
@@ -62,6 +63,7 @@
           takeBack.run();
         }
       }
+      case NodeMessage.AskNodes ask -> connection.send(new NodeMessage.Nodes(mesh.known()));
       case NodeMessage.Fetch fetch -> owner.documents(fetch).forEach(connection::send);
       default -> connection.end(new IllegalStateException("unexpected " + message));
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
@@ -23,7 +23,7 @@
 
   private final EventLoop loop;
   private final IntakeSettings settings;
-  private final PeerMesh.Owner owner;
+  private final MeshOwner owner;
   private final DecisionSink sink;
   private final BodyIntake intake;
   private final Map<Long, IncomingBody> coming = new HashMap<>();
@@ -32,7 +32,7 @@
   private long bytes;
   private long millis;
 
-  BodyTransfers(EventLoop loop, IntakeSettings settings, PeerMesh.Owner owner, DecisionSink sink) {
+  BodyTransfers(EventLoop loop, IntakeSettings settings, MeshOwner owner, DecisionSink sink) {
     this.loop = loop;
     this.settings = settings;
     this.owner = owner;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/CatchUp.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/CatchUp.java
@@ -27,10 +27,13 @@
     this.node = node;
   }
 
-  /** Takes in what another node reports. */
-  void reported(NodeId from, NodeReport report) {
-    if (ahead(report) && !node.followsStore()) {
-      fetch(from);
+  /**
+   * Takes in what another node reports. One of another failure domain is asked only by {@link
+   * #check}, when none of the own one is ahead by then: documents are large.
+   */
+  void reported(Peer from, NodeReport report) {
+    if (ahead(report) && near(from) && !node.followsStore()) {
+      fetch(from.info.node());
     }
   }
 
@@ -56,13 +59,17 @@
     List<Peer> far = new ArrayList<>();
     for (Peer peer : mesh.peers()) {
       if (mesh.alive(peer) && ahead(peer.report)) {
-        (peer.info.domain().equals(mesh.self().domain()) ? near : far).add(peer);
+        (near(peer) ? near : far).add(peer);
       }
     }
     List<Peer> all = near.isEmpty() ? far : near;
     return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
   }
 
+  private boolean near(Peer peer) {
+    return peer.info.domain().equals(mesh.self().domain());
+  }
+
   private boolean ahead(NodeReport report) {
     return report.configurationVersion() > node.configurationVersion()
         || report.ordersVersion() > node.orders().version();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -182,8 +182,10 @@
       candidates = candidates(call, VersionGroup.CURRENT);
     }
     List<PlacedUpstream> choices = new ArrayList<>(candidates.size());
+    long nowMillis = loop.millis();
+    double left = call.late() ? call.remainingMillis() : call.targetLeftMillis();
     for (Candidate candidate : candidates) {
-      if (!knownFull(call, candidate)) {
+      if (!knownFull(call, candidate, left, nowMillis)) {
         choices.add(candidate.choice());
       }
     }
@@ -267,13 +269,14 @@
           own,
           own.running() + own.queued());
     }
+    long nowMillis = loop.millis();
     for (Peer peer : mesh.peers()) {
       NodeReport report = peer.report;
       boolean serves =
           report != null
               && report.upstream() != null
               && report.upstream().service().equals(call.service());
-      if (serves && !report.leaving() && mesh.alive(peer)) {
+      if (serves && !report.leaving() && mesh.alive(peer, nowMillis)) {
         Placed placed = new Placed(peer.info.node(), peer, report.upstream());
         add(all, call, group, placed, peer.load, peer.busy());
       }
@@ -323,12 +326,13 @@
   /**
    * Returns whether the node beside an upstream would refuse a request, by what it told just now.
    */
-  private boolean knownFull(EntryCall call, Candidate candidate) {
+  private boolean knownFull(
+      EntryCall call, Candidate candidate, double leftMillis, long nowMillis) {
     Peer peer = candidate.placed().peer();
-    boolean told = peer == null || loop.millis() - peer.loadMillis <= LOAD_FRESH_MILLIS;
-    double left = call.late() ? call.remainingMillis() : call.targetLeftMillis();
+    boolean told = peer == null || nowMillis - peer.loadMillis <= LOAD_FRESH_MILLIS;
     PlacedUpstream choice = candidate.choice();
-    return told && choice.full(call.late() ? WaitingKind.LATE : choice.kind(left), left);
+    WaitingKind kind = call.late() ? WaitingKind.LATE : choice.kind(leftMillis);
+    return told && choice.full(kind, leftMillis);
   }
 
   private ServiceName turn(TrafficRoute route) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -10,7 +10,6 @@
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.http.HttpServerConnection;
 import io.hemlockbend.proxy.loop.EventLoop;
-import io.hemlockbend.proxy.peer.MoveShare;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.NodeMessage;
 import io.hemlockbend.proxy.peer.NodeReport;
@@ -32,7 +31,7 @@
  * A node: entry of its callers, gate of its upstream and peer of all other nodes. Whoever embeds it
  * feeds it with configurations, orders, nodes and the upstream's announcements.
  */
-public final class MeshNode implements PeerMesh.Owner {
+public final class MeshNode implements MeshOwner {
   private static final long CHECK_MILLIS = 200;
 
   private final EventLoop loop;
@@ -184,20 +183,27 @@
   }
 
   /**
-   * Takes in a configuration; one that is not newer than the one in force is ignored.
+   * Takes in a configuration from the store and tells the other nodes; one that is not newer than
+   * the one in force is ignored.
    *
    * @param bytes the document, as the operator wrote it
    */
   public void takeConfiguration(byte[] bytes) {
+    if (applyConfiguration(bytes)) {
+      announceSoon();
+    }
+  }
+
+  private boolean applyConfiguration(byte[] bytes) {
     TrafficConfiguration news;
     try {
       news = decoder.apply(bytes);
     } catch (RuntimeException e) {
       sink.decided("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
-      return;
+      return false;
     }
     if (configuration != null && news.version() <= configuration.version()) {
-      return;
+      return false;
     }
     configuration = news;
     document = bytes;
@@ -208,13 +214,22 @@
       upstream.service(service);
     }
     sink.decided("configuration", null, "version", news.version(), "routes", news.routes().size());
-    announceSoon();
+    return true;
   }
 
-  /** Takes in the operator's orders; older ones are ignored. */
+  /**
+   * Takes in the operator's orders from the store and tells the other nodes; older ones are
+   * ignored.
+   */
   public void takeOrders(OperatorOrders news) {
+    if (applyOrders(news)) {
+      announceSoon();
+    }
+  }
+
+  private boolean applyOrders(OperatorOrders news) {
     if (news.version() <= orders.version()) {
-      return;
+      return false;
     }
     orders = news;
     versions.orders(news);
@@ -230,7 +245,7 @@
         news.withdrawn(),
         "moves",
         news.moves());
-    announceSoon();
+    return true;
   }
 
   /**
@@ -268,18 +283,12 @@
   }
 
   @Override
-  public void reported(NodeId node, NodeReport report) {
+  public void reported(Peer from, NodeReport report) {
     if (report.upstream() != null) {
       versions.seen(report.upstream().service(), report.upstream().version());
     }
-    boolean news = false;
-    for (MoveShare share : report.moves()) {
-      news |= versions.share(share);
-    }
-    if (news) {
-      announceSoon();
-    }
-    catchUp.reported(node, report);
+    report.moves().forEach(versions::share);
+    catchUp.reported(from, report);
   }
 
   @Override
@@ -294,7 +303,7 @@
   }
 
   @Override
-  public void greeted() {
+  public void allNodesKnown() {
     membersKnown = true;
   }
 
@@ -318,7 +327,7 @@
   public void document(NodeMessage received) {
     switch (received) {
       case NodeMessage.Configuration news -> takePacked(news);
-      case NodeMessage.Orders news -> takeOrders(news.orders());
+      case NodeMessage.Orders news -> applyOrders(news.orders());
       default -> throw new IllegalArgumentException("no document: " + received);
     }
   }
@@ -331,7 +340,7 @@
       sink.decided("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
       return;
     }
-    takeConfiguration(bytes);
+    applyConfiguration(bytes);
   }
 
   /** Returns whether requests or answers are under way at this node. */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -20,6 +20,8 @@
   long dialedMillis;
   long failedDials;
   long pingedMillis;
+  private long waitingSinceMillis;
+  private boolean waiting;
   boolean dialing;
   double roundTripMillis;
   private final Map<Long, SentRun> runs = new HashMap<>();
@@ -35,6 +37,25 @@
     return othersThen + runs.size();
   }
 
+  /** Takes in that a ping is sent on the link. */
+  void pinged(long nowMillis) {
+    pingedMillis = nowMillis;
+    if (!waiting) {
+      waiting = true;
+      waitingSinceMillis = nowMillis;
+    }
+  }
+
+  /** Takes in that a ping was answered, or that the link is another one. */
+  void answered() {
+    waiting = false;
+  }
+
+  /** Returns for how long a ping on the link is unanswered; 0 when none is. */
+  long unansweredMillis(long nowMillis) {
+    return waiting ? nowMillis - waitingSinceMillis : 0;
+  }
+
   void load(UpstreamLoad news, long nowMillis) {
     load = news;
     loadMillis = nowMillis;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -1,7 +1,6 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.NodeId;
-import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.loop.EventLoop;
@@ -11,8 +10,6 @@
 import io.hemlockbend.proxy.peer.PeerConnection;
 import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.RunRequest;
-import io.hemlockbend.proxy.peer.UpstreamLoad;
-import io.hemlockbend.proxy.upstream.LocalUpstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -31,71 +28,29 @@
  */
 public final class PeerMesh {
   private static final long TICK_MILLIS = 100;
-  private static final long MIN_PING_MILLIS = 500;
-  private static final long MAX_PING_MILLIS = 1_000;
-
-  /**
-   * How many nodes are asked every {@link #MIN_PING_MILLIS}; with more, each is asked less often.
-   */
-  private static final int OFTEN_ASKED = 24;
-
-  /** How many pings without an answer make a link suspect. */
-  private static final double SUSPECT_PINGS = 2;
-
-  /** After how many times the pause between pings an answer is overdue. */
-  private static final double FRESH_PINGS = 1.25;
-
-  private static final long DEAD_MILLIS = 3_000;
   private static final long REDIAL_MILLIS = 300;
   private static final long MAX_REDIAL_MILLIS = 2_000;
   private static final long DIAL_TIMEOUT_MILLIS = 1_500;
   private static final long FETCH_AGAIN_MILLIS = 400;
   private static final byte[] NO_BODY = new byte[0];
 
-  /** What the rest of the node does for the links. */
-  public interface Owner {
-    /** Returns what this node tells about itself. */
-    NodeReport report();
-
-    /** Returns how loaded the upstream beside this node is. */
-    UpstreamLoad load();
-
-    /** Hears of crashes of other nodes' upstreams. */
-    void crashes(List<Suspicion> reports);
-
-    /** Hears a report. */
-    void reported(NodeId node, NodeReport report);
-
-    /** Returns the upstream beside this node. */
-    LocalUpstream upstream();
-
-    /** Hears of nodes that it did not know. */
-    void discovered(NodeInfo node);
-
-    /** Hears that another node told which nodes it knows. */
-    void greeted();
-
-    /** Returns the documents that this node holds and that are newer than another one's. */
-    List<NodeMessage> documents(NodeMessage.Fetch fetch);
-
-    /** Takes in a document of another node. */
-    void document(NodeMessage document);
-  }
-
   private final EventLoop loop;
   private final NodeInfo self;
-  private final Owner owner;
+  private final MeshOwner owner;
   private final DecisionSink sink;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private final Set<PeerConnection> accepted = new HashSet<>();
+  private final NodeCensus census = new NodeCensus();
+  private final PingSchedule schedule = new PingSchedule(peers::size);
   private final BodyTransfers bodies;
   private long nextStream = 1;
   private long fetchedMillis;
+  private long pings;
   private boolean stopped;
 
   /** Makes the links of a node; none is open until nodes are known. */
   public PeerMesh(
-      EventLoop loop, NodeInfo self, IntakeSettings intake, Owner owner, DecisionSink sink) {
+      EventLoop loop, NodeInfo self, IntakeSettings intake, MeshOwner owner, DecisionSink sink) {
     this.loop = loop;
     this.self = self;
     this.owner = owner;
@@ -133,6 +88,26 @@
     }
   }
 
+  /** Takes in how many nodes another one knows. */
+  void told(int nodes) {
+    if (census.told(nodes, peers.size() + 1)) {
+      owner.allNodesKnown();
+    }
+  }
+
+  private void askForNodes(long nowMillis) {
+    if (!census.due(peers.size() + 1, nowMillis)) {
+      return;
+    }
+    for (Peer peer : peers.values()) {
+      if (alive(peer)) {
+        census.asked(nowMillis);
+        peer.link.send(new NodeMessage.AskNodes());
+        return;
+      }
+    }
+  }
+
   /** Returns all other nodes that are known, by name. */
   Collection<Peer> peers() {
     return peers.values();
@@ -153,9 +128,12 @@
 
   /** Returns whether a node answers. */
   boolean alive(Peer peer) {
-    return peer.link != null
-        && peer.report != null
-        && loop.millis() - peer.reportMillis < SUSPECT_PINGS * pingMillis();
+    return alive(peer, loop.millis());
+  }
+
+  /** Returns whether a node answers at a time; for those who ask of many nodes at once. */
+  boolean alive(Peer peer, long nowMillis) {
+    return schedule.alive(peer, nowMillis);
   }
 
   /** Returns whether the node of a name answers. */
@@ -166,9 +144,7 @@
 
   /** Returns whether a node has just answered, so that it need not be missed for long. */
   boolean fresh(Peer peer) {
-    return peer.link != null
-        && peer.report != null
-        && loop.millis() - peer.reportMillis < FRESH_PINGS * pingMillis();
+    return schedule.fresh(peer, loop.millis());
   }
 
   /** Returns how many other nodes answer. */
@@ -200,13 +176,12 @@
 
   /** Tells all nodes at once what changed here. */
   public void announce() {
-    NodeMessage report = new NodeMessage.Report(0, owner.report());
-    accepted.forEach(link -> link.send(report));
+    broadcast(new NodeMessage.Report(0, owner.report()));
   }
 
   /** Sends a message to all nodes that dialed this one. */
   public void broadcast(NodeMessage message) {
-    accepted.forEach(link -> link.send(message));
+    PeerConnection.sendToAll(accepted, message);
   }
 
   /** Asks one node that is ahead of this one for its documents. */
@@ -226,19 +201,45 @@
 
   private void tick() {
     long nowMillis = loop.millis();
+    askForNodes(nowMillis);
     for (Peer peer : peers.values()) {
       if (peer.link == null) {
         redialWhenDue(peer, nowMillis);
-      } else if (nowMillis - Math.max(peer.reportMillis, peer.dialedMillis) > DEAD_MILLIS) {
+      } else if (schedule.silent(peer, nowMillis)) {
         noteLink("link-silent", peer, peer.link, null);
         peer.link.end(null);
-      } else if (nowMillis - peer.pingedMillis >= pingMillis()) {
-        peer.pingedMillis = nowMillis;
-        peer.link.send(new NodeMessage.Ping(nowMillis));
+      } else if (schedule.due(peer, nowMillis)) {
+        ping(peer, nowMillis);
       }
     }
   }
 
+  private void ping(Peer peer, long nowMillis) {
+    peer.pinged(nowMillis);
+    pings++;
+    peer.link.send(new NodeMessage.Ping(nowMillis, owner.report()));
+  }
+
+  /** Takes in what a node tells with its ping. */
+  void pingedBy(NodeReport report) {
+    Peer peer = peers.get(report.node());
+    if (peer != null && peer.link != null) {
+      heard(peer, report);
+    }
+  }
+
+  private void heard(Peer peer, NodeReport report) {
+    peer.report = report;
+    peer.reportMillis = loop.millis();
+    peer.load(report.load(), peer.reportMillis);
+    owner.reported(peer, report);
+  }
+
+  /** Returns how many pings were sent. */
+  public long pings() {
+    return pings;
+  }
+
   /** Logs the state of a link with what shows whether the node, its peer or the way is slow. */
   private void noteLink(String event, Peer peer, PeerConnection link, Throwable cause) {
     long nowMillis = loop.millis();
@@ -278,12 +279,6 @@
     return bodies;
   }
 
-  /** Returns how often each node is asked, so that a node's pings are bounded in a large mesh. */
-  private long pingMillis() {
-    return Math.clamp(
-        MIN_PING_MILLIS * peers.size() / OFTEN_ASKED, MIN_PING_MILLIS, MAX_PING_MILLIS);
-  }
-
   private void redialWhenDue(Peer peer, long nowMillis) {
     long pause = Math.min(MAX_REDIAL_MILLIS, REDIAL_MILLIS * (1 + peer.failedDials));
     if (!peer.dialing && nowMillis - peer.dialedMillis >= pause) {
@@ -325,10 +320,10 @@
       peer.dialing = false;
       peer.failedDials = 0;
       peer.link = connection;
+      peer.answered();
       peer.dialedMillis = loop.millis();
-      connection.send(new NodeMessage.Hello(self, known()));
-      peer.pingedMillis = loop.millis();
-      connection.send(new NodeMessage.Ping(peer.pingedMillis));
+      connection.send(new NodeMessage.Hello(self, peers.size() + 1));
+      ping(peer, loop.millis());
       sink.decided("link-open", null, "peer", peer.info.node());
     }
 
@@ -349,6 +344,11 @@
             run.send(ask, connection::send);
           }
         }
+        case NodeMessage.Nodes nodes -> {
+          nodes.known().forEach(PeerMesh.this::learn);
+          census.answered();
+          owner.allNodesKnown();
+        }
         case NodeMessage.Configuration document -> owner.document(document);
         case NodeMessage.Orders document -> owner.document(document);
         case NodeMessage.Crashes crashes -> owner.crashes(crashes.reports());
@@ -364,14 +364,15 @@
         connection.end(new IllegalStateException("is " + news.report().node()));
         return;
       }
-      long nowMillis = loop.millis();
-      peer.report = news.report();
-      peer.load(news.report().load(), nowMillis);
-      if (news.pingMillis() > 0) {
-        peer.reportMillis = nowMillis;
-        peer.roundTripMillis = nowMillis - news.pingMillis();
+      if (news.pingMillis() == 0) {
+        peer.report = news.report();
+        peer.load(news.report().load(), loop.millis());
+        owner.reported(peer, news.report());
+        return;
       }
-      owner.reported(peer.info.node(), news.report());
+      peer.answered();
+      peer.roundTripMillis = loop.millis() - news.pingMillis();
+      heard(peer, news.report());
     }
 
     @Override
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -7,12 +7,22 @@
 /** A message between two nodes. */
 public sealed interface NodeMessage {
   /**
-   * The first message of each side.
+   * The first message of the side that dialed.
    *
    * @param sender the node that sends it
-   * @param known all nodes that it knows
+   * @param known how many nodes it knows, with itself
    */
-  record Hello(NodeInfo sender, List<NodeInfo> known) implements NodeMessage {}
+  record Hello(NodeInfo sender, int known) implements NodeMessage {}
+
+  /** Asks for all nodes that the receiver knows. */
+  record AskNodes() implements NodeMessage {}
+
+  /**
+   * The nodes that the sender knows.
+   *
+   * @param known the nodes, with the sender
+   */
+  record Nodes(List<NodeInfo> known) implements NodeMessage {}
 
   /**
    * What the sender tells about itself: the answer to a ping, or news.
@@ -65,11 +75,12 @@
   record Cancel(long stream) implements NodeMessage {}
 
   /**
-   * Asks for a report at once; shows both sides that the link works both ways.
+   * Asks for a report at once; shows the sender that the link works both ways.
    *
    * @param sentMillis the sender's time, given back in the answer
+   * @param report what the sender tells about itself, so that the receiver need not ask
    */
-  record Ping(long sentMillis) implements NodeMessage {}
+  record Ping(long sentMillis, NodeReport report) implements NodeMessage {}
 
   /**
    * Asks for the configuration and the orders that the receiver has, as far as they are newer.
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -3,12 +3,14 @@
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.proxy.peer.NodeMessage.Ask;
+import io.hemlockbend.proxy.peer.NodeMessage.AskNodes;
 import io.hemlockbend.proxy.peer.NodeMessage.Cancel;
 import io.hemlockbend.proxy.peer.NodeMessage.Configuration;
 import io.hemlockbend.proxy.peer.NodeMessage.Crashes;
 import io.hemlockbend.proxy.peer.NodeMessage.Ended;
 import io.hemlockbend.proxy.peer.NodeMessage.Fetch;
 import io.hemlockbend.proxy.peer.NodeMessage.Hello;
+import io.hemlockbend.proxy.peer.NodeMessage.Nodes;
 import io.hemlockbend.proxy.peer.NodeMessage.Orders;
 import io.hemlockbend.proxy.peer.NodeMessage.Piece;
 import io.hemlockbend.proxy.peer.NodeMessage.Ping;
@@ -36,6 +38,8 @@
   private static final int CRASHES = 10;
   private static final int ASK = 11;
   private static final int PIECE = 12;
+  private static final int ASK_NODES = 13;
+  private static final int NODES = 14;
 
   private NodeMessageCodec() {}
 
@@ -69,8 +73,12 @@
       case Hello hello -> {
         packer.packInt(HELLO);
         writeNode(packer, hello.sender());
-        packer.packArrayHeader(hello.known().size());
-        for (NodeInfo node : hello.known()) {
+        packer.packInt(hello.known());
+      }
+      case AskNodes ask -> packer.packInt(ASK_NODES);
+      case Nodes nodes -> {
+        packer.packInt(NODES).packArrayHeader(nodes.known().size());
+        for (NodeInfo node : nodes.known()) {
           writeNode(packer, node);
         }
       }
@@ -99,7 +107,10 @@
         packer.packBinaryHeader(configuration.packed().length);
         packer.writePayload(configuration.packed());
       }
-      case Ping ping -> packer.packInt(PING).packLong(ping.sentMillis());
+      case Ping ping -> {
+        packer.packInt(PING).packLong(ping.sentMillis());
+        ReportCodec.write(packer, ping.report());
+      }
       case Fetch fetch -> {
         packer.packInt(FETCH).packLong(fetch.configurationVersion());
         packer.packLong(fetch.ordersVersion());
@@ -118,14 +129,15 @@
   private static NodeMessage readMessage(MessageUnpacker unpacker) throws IOException {
     int kind = unpacker.unpackInt();
     return switch (kind) {
-      case HELLO -> {
-        NodeInfo sender = readNode(unpacker);
+      case HELLO -> new Hello(readNode(unpacker), unpacker.unpackInt());
+      case ASK_NODES -> new AskNodes();
+      case NODES -> {
         int count = unpacker.unpackArrayHeader();
         List<NodeInfo> known = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
           known.add(readNode(unpacker));
         }
-        yield new Hello(sender, known);
+        yield new Nodes(known);
       }
       case REPORT -> new Report(unpacker.unpackLong(), ReportCodec.read(unpacker));
       case RUN -> {
@@ -149,7 +161,7 @@
         long version = unpacker.unpackLong();
         yield new Configuration(version, unpacker.readPayload(unpacker.unpackBinaryHeader()));
       }
-      case PING -> new Ping(unpacker.unpackLong());
+      case PING -> new Ping(unpacker.unpackLong(), ReportCodec.read(unpacker));
       case FETCH -> new Fetch(unpacker.unpackLong(), unpacker.unpackLong());
       case ORDERS -> new Orders(OrdersCodec.read(unpacker));
       case CRASHES -> new Crashes(CrashesCodec.read(unpacker));
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/PeerConnection.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.proxy.loop.EventLoop;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Collection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 
@@ -44,6 +45,16 @@
     }
   }
 
+  /** Sends a message on several connections; it is encoded once. */
+  public static void sendToAll(Collection<PeerConnection> connections, NodeMessage message) {
+    ByteBuffer frame = NodeMessageCodec.frame(message);
+    for (PeerConnection connection : connections) {
+      if (!connection.isOver()) {
+        connection.outbox().add(frame.duplicate());
+      }
+    }
+  }
+
   /** Returns when the last bytes came, in the loop's milliseconds. */
   public long receivedMillis() {
     return receivedMillis;
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -165,13 +165,18 @@
 
   /** Adds a node that reaches another one through a port, and only that one; it has no upstream. */
   Member addBehind(String domain, Member other, int port) {
+    NodeInfo there = other.node.mesh().self();
+    return addKnowing(
+        domain,
+        new NodeInfo(there.node(), NarrowLink.HOST, port, there.domain(), there.startedMillis()));
+  }
+
+  /** Adds a node that knows one other only, as if the store did not answer it. */
+  Member addKnowing(String domain, NodeInfo other) {
     int number = members.size() + 1;
     Member member = new Member(number, domain, socket -> answerAll(socket, "n" + number));
     members.add(member);
-    NodeInfo there = other.node.mesh().self();
-    NodeInfo behind =
-        new NodeInfo(there.node(), NarrowLink.HOST, port, there.domain(), there.startedMillis());
-    member.on(() -> member.node.mesh().learn(behind));
+    member.on(() -> member.node.mesh().learn(other));
     return member;
   }
 
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/NarrowLink.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/NarrowLink.java
@@ -27,6 +27,7 @@
   private final long bytesPerSecond;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private long freeNanos = System.nanoTime();
+  private volatile boolean silent;
 
   NarrowLink(InetSocketAddress target, long bytesPerSecond) throws IOException {
     this.target = target;
@@ -40,6 +41,11 @@
     return server.getLocalPort();
   }
 
+  /** Passes nothing on to the instance any more; connections stay open. */
+  void silence() {
+    silent = true;
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
@@ -75,7 +81,9 @@
         if (bounded) {
           TimeUnit.NANOSECONDS.sleep(turnNanos(count));
         }
-        out.write(buffer, 0, count);
+        if (!bounded || !silent) {
+          out.write(buffer, 0, count);
+        }
       }
     } catch (IOException | InterruptedException e) {
       // One side is gone; both sockets are closed.
--- /dev/null
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PeerMeshTest.java
@@ -0,0 +1,71 @@
+package io.hemlockbend.proxy.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerMeshTest {
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
+  private final MeshFixture mesh = new MeshFixture();
+
+  @AfterEach
+  void close() throws Exception {
+    mesh.close();
+  }
+
+  /** Each node of a large mesh pings all others; twice as many pings take twice the time. */
+  @Test
+  void pairOfNodesPingsByTurns() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second = mesh.add("sfax");
+    awaitSeen(first, second, 2);
+    long before = pings(first) + pings(second);
+    Thread.sleep(4_000);
+    // One of the pair pings every half second; a few more when both happen to begin.
+    assertThat(pings(first) + pings(second) - before).isBetween(6L, 11L);
+    assertThat(first.ask(() -> first.node.mesh().aliveCount())).isEqualTo(1);
+  }
+
+  /** Pings of the other node come on another link and do not show that this one works. */
+  @Test
+  void linkThatFellSilentIsNotUsedThoughItsNodeIsHeardOf() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    try (NarrowLink link = new NarrowLink(first.node.mesh().self().address(), 1_000_000)) {
+      MeshFixture.Member second = mesh.addBehind("sfax", first, link.port());
+      awaitSeen(second, first, 2);
+      link.silence();
+      await()
+          .atMost(Duration.ofSeconds(3))
+          .until(() -> second.ask(() -> second.node.mesh().aliveCount()) == 0);
+      assertThat(first.ask(() -> first.node.mesh().known())).hasSize(2);
+    }
+  }
+
+  @Test
+  void nodeThatKnowsOneOtherLearnsOfAllFromIt() {
+    MeshFixture.Member first = mesh.add("tunis");
+    MeshFixture.Member second = mesh.add("sfax");
+    MeshFixture.Member third = mesh.addKnowing("sousse", second.node.mesh().self());
+    await().atMost(WAIT).until(() -> third.ask(() -> third.node.mesh().aliveCount()) == 2);
+    await().atMost(WAIT).until(() -> first.ask(() -> first.node.mesh().aliveCount()) == 2);
+    assertThat(third.ask(third.node::ready)).isTrue();
+  }
+
+  private static long pings(MeshFixture.Member member) {
+    return member.ask(() -> member.node.mesh().pings());
+  }
+
+  private static void awaitSeen(
+      MeshFixture.Member one, MeshFixture.Member other, int nodesEachKnows) {
+    for (MeshFixture.Member member : List.of(one, other)) {
+      await()
+          .atMost(WAIT)
+          .until(() -> member.ask(() -> member.node.mesh().aliveCount()) == nodesEachKnows - 1);
+    }
+  }
+}
