--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshOwner.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshOwner.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** What the rest of the node does for the links. */
-public interface MeshOwner {
+interface MeshOwner {
   /** Returns what this node tells about itself. */
   NodeReport report();
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -24,7 +24,8 @@
 /**
  * The links with all other nodes. Each node dials every other one: its requests and pings go over
  * the link that it dialed, and the answers and reports of the other side come back on it. A link
- * without answers to its pings is not used, and is dialed anew when it stays so.
+ * without answers to its pings is not used, and is dialed anew when it stays so. The two nodes of a
+ * pair ping by turns, as a ping tells of its sender too.
  */
 public final class PeerMesh {
   private static final long TICK_MILLIS = 100;
@@ -49,7 +50,7 @@
   private boolean stopped;
 
   /** Makes the links of a node; none is open until nodes are known. */
-  public PeerMesh(
+  PeerMesh(
       EventLoop loop, NodeInfo self, IntakeSettings intake, MeshOwner owner, DecisionSink sink) {
     this.loop = loop;
     this.self = self;
