End a stopping node only when no request came since the last look

Ruled out: the way of the body, which came whole, and the grace, of which half was left.

The node now looks again before it ends, goes on when a request came, and ends all connections, of which none has a request that was read, in the same turn.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Departure.java
@@ -52,12 +52,25 @@
 
   private void check() {
     List.copyOf(callers).forEach(caller -> caller.closeIfIdle(FIRST_REQUEST_MILLIS));
-    boolean graceOver = loop.millis() - beganMillis >= graceMillis - MARGIN_MILLIS;
-    if (!node.busy() || graceOver) {
+    if (!node.busy() || graceOver()) {
       loop.stopListening();
-      loop.after(CHECK_MILLIS, stopped);
+      loop.after(CHECK_MILLIS, this::finish);
     } else {
       loop.after(CHECK_MILLIS, this::check);
     }
   }
+
+  /** Ends the node, unless a request came on an open connection meanwhile. */
+  private void finish() {
+    if (node.busy() && !graceOver()) {
+      loop.after(CHECK_MILLIS, this::check);
+      return;
+    }
+    List.copyOf(callers).forEach(caller -> caller.end(null));
+    stopped.run();
+  }
+
+  private boolean graceOver() {
+    return loop.millis() - beganMillis >= graceMillis - MARGIN_MILLIS;
+  }
 }
