--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/BodyTransfers.java
@@ -21,6 +21,9 @@
 public final class BodyTransfers {
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Why a request is refused whose body could not be whole in time. */
+  private static final String LINK_FULL = "link-full";
+
   private final EventLoop loop;
   private final IntakeSettings settings;
   private final MeshOwner owner;
@@ -62,7 +65,7 @@
     double availableMillis = ofUseMillis - owner.upstream().serviceMillis(request.route());
     long number = ++lastNumber;
     if (!intake.offer(number, run.offeredBytes(), late, availableMillis, loop.millis())) {
-      refuse(request, run.offeredBytes(), "link-full", listener);
+      refuse(request, run.offeredBytes(), LINK_FULL, listener);
       return null;
     }
     IncomingBody body = new IncomingBody(this, number, run, from, link, listener, loop.millis());
@@ -153,8 +156,8 @@
   /** Ends a request that waited as late: others that are in time took its turn. */
   private void overtaken(long number) {
     IncomingBody body = coming.get(number);
-    noteRefused(body.request(), body.offeredBytes(), "link-full");
-    body.end(new RunEnd.NotRun("link-full"));
+    noteRefused(body.request(), body.offeredBytes(), LINK_FULL);
+    body.end(new RunEnd.NotRun(LINK_FULL));
   }
 
   private void refuse(
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -30,16 +30,16 @@
   private final Set<NodeId> ranOn = new HashSet<>();
   private final StringBuilder tries = new StringBuilder();
   private final Timer deadline;
+  private final boolean shortLived;
+  private final long readMillis;
   private HttpReply failure;
   private Runnable takeBack;
   private String lastRefusal = NONE;
   private int placements;
   private int sends;
-  private final boolean shortLived;
+  private long serviceMillis = -1;
   private boolean missedTarget;
   private boolean over;
-  private final long readMillis;
-  private long serviceMillis = -1;
 
   EntryCall(
       Entry entry,
