--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerConnections.java
@@ -47,7 +47,7 @@
       link = null;
     }
     if (link == null || !link.offer(outbound.message())) {
-      open(outbound.to()).offer(outbound.message());
+      open(outbound.to(), outbound.message());
     }
   }
 
@@ -76,7 +76,7 @@
     links.forEach(this::remove);
   }
 
-  private PeerLink open(NodeAddress peer) {
+  private void open(NodeAddress peer, PeerMessage message) {
     if (links.size() >= settings.maxOutgoing()) {
       links.entrySet().stream()
           .min(Comparator.comparingLong(entry -> entry.getValue().lastOfferNanos()))
@@ -86,9 +86,10 @@
     }
     PeerLink link =
         new PeerLink(peer, settings, frames, counters, ended -> links.remove(peer, ended));
+    // Queued before the start: a refused connect may end the link at once.
+    link.offer(message);
     links.put(peer, link);
     link.start();
-    return link;
   }
 
   private void remove(NodeAddress peer, PeerLink link) {
--- a/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
+++ b/hemlockbend-wire/src/main/java/io/hemlockbend/wire/PeerLink.java
@@ -47,15 +47,17 @@
    * ended and a new one is needed.
    */
   boolean offer(PeerMessage message) {
-    if (closed) {
-      return false;
-    }
     lastOfferNanos = System.nanoTime();
-    if (!queue.offer(message)) {
-      counters.drop();
-    } else {
-      unanswered.sent(message, lastOfferNanos);
+    synchronized (queue) {
+      if (closed) {
+        return false;
+      }
+      if (!queue.offer(message)) {
+        counters.drop();
+        return true;
+      }
     }
+    unanswered.sent(message, lastOfferNanos);
     return true;
   }
 
@@ -92,9 +94,17 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      closed = true;
+      dropQueued();
       onEnd.accept(this);
+    }
+  }
+
+  /** Ends the link; no message is queued after those that are dropped here. */
+  private void dropQueued() {
+    synchronized (queue) {
+      closed = true;
       queue.forEach(message -> counters.drop());
+      queue.clear();
     }
   }
 
@@ -119,7 +129,12 @@
       counters.drop();
       return;
     }
-    out.write(frame);
+    try {
+      out.write(frame);
+    } catch (IOException e) {
+      counters.drop();
+      throw e;
+    }
     counters.sent(frame.length);
   }
 
--- a/hemlockbend-wire/src/test/java/io/hemlockbend/wire/PeerConnectionsTest.java
+++ b/hemlockbend-wire/src/test/java/io/hemlockbend/wire/PeerConnectionsTest.java
@@ -12,12 +12,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class PeerConnectionsTest {
+  private static final int MESSAGES_TO_DEAD_PEER = 2_000;
+  private static final Duration POLL = Duration.ofMillis(1);
+
   private final WireCounters counters = new WireCounters();
   private ServerSocket server;
 
@@ -120,4 +124,24 @@
     }
     assertThat(counters.messagesOut()).isZero();
   }
+
+  /**
+   * Many links whose connect is refused at once, so that a link may end before, while or after its
+   * message is queued.
+   */
+  @Test
+  void everyMessageToADeadPeerIsCounted() throws Exception {
+    NodeAddress dead = address();
+    server.close();
+    try (PeerConnections connections = connections(counters, 60_000)) {
+      for (int i = 1; i <= MESSAGES_TO_DEAD_PEER; i++) {
+        connections.send(new Outbound(dead, Messages.ping(i)));
+        if (i % 2 == 0) {
+          await().pollInterval(POLL).until(() -> connections.size() == 0);
+        }
+      }
+      await().until(() -> counters.dropped() == MESSAGES_TO_DEAD_PEER);
+    }
+    assertThat(counters.messagesOut()).isZero();
+  }
 }
