--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/AnswerChecker.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/AnswerChecker.java
@@ -42,7 +42,7 @@
   /**
    * Classifies a call that ended without a complete HTTP response.
    *
-   * @param answerBegun whether the response headers were received
+   * @param answerBegun whether the response's status line was received
    */
   static AnswerState classifyFailure(Throwable failure, boolean answerBegun) {
     boolean timedOut = failure instanceof TimeoutException;
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/CallSender.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/load/CallSender.java
@@ -47,7 +47,7 @@
    */
   CompletableFuture<TraceRecord.Call> send(PlannedCall call, long dueMillis) {
     AtomicReference<Response> startedResponse = new AtomicReference<>();
-    Request request = request(call).onResponseHeaders(startedResponse::set);
+    Request request = request(call).onResponseBegin(startedResponse::set);
     return new CompletableResponseListener(request, MAX_ANSWER_BYTES)
         .send()
         .handle(
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/load/LoadToolTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/load/LoadToolTest.java
@@ -14,13 +14,20 @@
 import io.hemlockbend.testkit.upstream.UpstreamFaults;
 import io.hemlockbend.testkit.upstream.UpstreamServer;
 import io.hemlockbend.testkit.upstream.UpstreamSettings;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.Test;
@@ -74,6 +81,44 @@
     }
   }
 
+  @Test
+  void answerThatBreaksOffInItsHeadIsBroken() throws Exception {
+    byte[] head = "HTTP/1.1 200 OK\r\nX-Answered-Re".getBytes(StandardCharsets.ISO_8859_1);
+    try (ServerSocket server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> answerAll(server, head));
+      URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
+      LoadReport report = LoadTool.run(plan(uri), call -> {});
+      assertThat(report.answers()).containsOnlyKeys(AnswerState.BROKEN);
+    }
+  }
+
+  private static void answerAll(ServerSocket server, byte[] answer) {
+    while (!server.isClosed()) {
+      try (Socket socket = server.accept()) {
+        // Unread bytes would reset the connection, and the reset could overtake the answer.
+        readRequest(socket);
+        socket.getOutputStream().write(answer);
+      } catch (IOException e) {
+        // The caller is gone or the test has ended.
+      }
+    }
+  }
+
+  private static void readRequest(Socket socket) throws IOException {
+    BufferedReader in =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    int bodyLength = 0;
+    String line = in.readLine();
+    while (line != null && !line.isEmpty()) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        bodyLength = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+      }
+      line = in.readLine();
+    }
+    in.skip(bodyLength);
+  }
+
   @Test
   void shortBodyThatLooksWholeIsDamaged() throws Exception {
     LoadReport report = loadOn(exchange -> reply(exchange, id(exchange), true));
