--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/membership/Membership.java
@@ -110,9 +110,7 @@
    */
   public List<Outbound> leave(long nowMillis) {
     view.leave();
-    return table.randomLive(composer.transmissions()).stream()
-        .map(peer -> tasks.pingWithoutAck(peer, nowMillis))
-        .toList();
+    return pingsWithoutAck(nowMillis);
   }
 
   /** Announces the upstream beside this node, or that there is none. */
@@ -155,6 +153,17 @@
     composer.suspicions().spread(suspicion);
   }
 
+  /**
+   * Sends pending gossip at once instead of at the next interval: to every peer of a small mesh,
+   * and to as many of a large one as reach the others with near certainty.
+   *
+   * @param nowMillis the time
+   * @return the messages to send
+   */
+  public List<Outbound> gossipNow(long nowMillis) {
+    return composer.hasPending() ? pingsWithoutAck(nowMillis) : List.of();
+  }
+
   /** Returns the brakes received for the first time since the last call. */
   public List<Brake> receivedBrakes() {
     return composer.brakes().drain();
@@ -205,6 +214,12 @@
     return view.fence().fenced();
   }
 
+  private List<Outbound> pingsWithoutAck(long nowMillis) {
+    return table.randomLive(composer.transmissions()).stream()
+        .map(peer -> tasks.pingWithoutAck(peer, nowMillis))
+        .toList();
+  }
+
   private List<Outbound> receivePing(Ping ping, long nowMillis) {
     view.mergeAndGossipAll(ping.news(), nowMillis);
     composer.receive(ping.brakes(), ping.suspicions(), nowMillis);
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/membership/MembershipTest.java
@@ -211,6 +211,18 @@
     assertThat(second.receivedSuspicions()).isEmpty();
   }
 
+  @Test
+  void urgentCrashReportReachesASmallMeshWithoutWaiting() {
+    Membership first = start(1);
+    List<Membership> others = List.of(start(2), start(3), start(4));
+    run(3_000);
+    Suspicion report = new Suspicion(new RequestId("r"), List.of(), now + 5_000);
+    first.spread(report);
+    deliver(first.gossipNow(now));
+    assertThat(others)
+        .allSatisfy(node -> assertThat(node.receivedSuspicions()).containsExactly(report));
+  }
+
   @Test
   void onlyLaggingMembersArePinged() {
     Membership first = start(1);
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/RunEventForwarder.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/RunEventForwarder.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.node.forward.Call;
 import io.hemlockbend.node.rollout.EvidenceInbox;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** Forwards admission events of the upstream to the evidence inbox and the control loop. */
 final class RunEventForwarder implements RunListener {
@@ -35,7 +36,7 @@
   }
 
   @Override
-  public void unreachable() {
-    control.upstreamUnreachable();
+  public CompletableFuture<Void> unreachable() {
+    return control.upstreamUnreachable();
   }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Admits requests to the upstream beside this node and runs them. A refused request is refused
@@ -41,6 +42,10 @@
 public final class AdmissionService {
   private static final long MAX_PAUSE_MILLIS = 3_000;
   private static final double NANOS_PER_MILLI = 1e6;
+
+  /** How long a broken end may wait for the report of the crash; usually it takes a few. */
+  private static final long MAX_CRASH_REPORT_MILLIS = 250;
+
   private static final Answer BROKEN = new Answer.Failed(new AttemptEnd.Broken(false));
 
   private record Run(Call call, UpstreamLink link, Permit permit, boolean cold, long startNanos) {}
@@ -220,7 +225,7 @@
       current.crashes().started(call.request());
       run = new Run(call, current, permit, current.cold(), System.nanoTime());
     }
-    return claims.run(call, () -> forward(run)).thenApply(answer -> finish(run, answer));
+    return claims.run(call, () -> forward(run)).thenCompose(answer -> finish(run, answer));
   }
 
   private CompletableFuture<Answer> forward(Run run) {
@@ -240,20 +245,36 @@
     return forwarder.send(call, new Hop(run.link().address(), false, totalMillis, totalMillis));
   }
 
-  private Answer finish(Run run, Answer answer) {
+  private CompletableFuture<Answer> finish(Run run, Answer answer) {
     if (answer instanceof Answer.Streamed streamed) {
       WatchedSource rest =
           new WatchedSource(
               streamed.rest(),
               complete -> ended(run, complete ? RunOutcome.ANSWERED : RunOutcome.BROKEN));
-      return new Answer.Streamed(streamed.status(), streamed.fields(), streamed.start(), rest);
+      return CompletableFuture.completedFuture(
+          new Answer.Streamed(streamed.status(), streamed.fields(), streamed.start(), rest));
     }
     ended(run, RunOutcomes.of(answer));
     if (answer instanceof Answer.Failed(AttemptEnd end) && end instanceof AttemptEnd.NotConnected) {
       listener.unreachable();
     }
-    boolean brokenAlone = run.permit().alone() && answer.equals(BROKEN);
-    return brokenAlone ? new Answer.Failed(new AttemptEnd.Broken(true)) : answer;
+    if (!answer.equals(BROKEN)) {
+      return CompletableFuture.completedFuture(answer);
+    }
+    Answer broken = run.permit().alone() ? new Answer.Failed(new AttemptEnd.Broken(true)) : answer;
+    return crashReported(run.link()).thenApply(reported -> broken);
+  }
+
+  /**
+   * Checks whether an upstream whose connection broke has crashed. The entry gets the broken end
+   * only after the crash was reported, so that a resend finds other nodes informed.
+   */
+  private CompletableFuture<Void> crashReported(UpstreamLink brokenLink) {
+    return UpstreamProbe.refuses(brokenLink.address())
+        .thenCompose(
+            refused ->
+                refused ? listener.unreachable() : CompletableFuture.<Void>completedFuture(null))
+        .completeOnTimeout(null, MAX_CRASH_REPORT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void ended(Run run, RunOutcome outcome) {
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunListener.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/RunListener.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.node.forward.Call;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** Receives the outcomes of requests on the upstream. Called by traffic threads; must not block. */
 public interface RunListener {
@@ -24,6 +25,10 @@
    */
   void crashed(List<Suspicion> inFlight);
 
-  /** Called when a connection to the upstream could not be opened. */
-  void unreachable();
+  /**
+   * Called when a connection to the upstream could not be opened.
+   *
+   * @return completes once the crash was reported to other nodes; never, if this node stops before
+   */
+  CompletableFuture<Void> unreachable();
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -25,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -124,19 +125,34 @@
     execute(() -> upstreamAnnounced(body));
   }
 
-  /** Marks the upstream as down because a connection to it could not be opened. */
-  public void upstreamUnreachable() {
+  /**
+   * Marks the upstream as down because a connection to it could not be opened.
+   *
+   * @return completes once the reports of the requests in flight were sent
+   */
+  public CompletableFuture<Void> upstreamUnreachable() {
+    CompletableFuture<Void> reported = new CompletableFuture<>();
     execute(
         () -> {
           if (state.upstream.markUnreachable()) {
             upstreamDown();
           }
+          // The reports are sent by a task of their own, which is queued by now.
+          execute(() -> reported.complete(null));
         });
+    return reported;
   }
 
-  /** Gossips the reports of requests that were in flight at a crash. */
+  /**
+   * Gossips the reports of requests that were in flight at a crash, at once, because their callers
+   * may resend them through other nodes.
+   */
   public void suspected(List<Suspicion> reports) {
-    execute(() -> reports.forEach(state.membership::spread));
+    execute(
+        () -> {
+          reports.forEach(state.membership::spread);
+          send(state.membership.gossipNow(clock.millis()));
+        });
   }
 
   /** Applies a configuration whose commit was accepted through this node, and announces it. */
--- a/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/MeshFaultsTest.java
+++ b/hemlockbend-testkit/src/test/java/io/hemlockbend/testkit/mesh/MeshFaultsTest.java
@@ -103,6 +103,18 @@
     assertThat(crashed).isBetween(1L, (long) MAX_CRASHES);
   }
 
+  /**
+   * A caller that resends at once, through an entry that saw none of the crashes and prefers other
+   * upstreams, those of its failure domain.
+   */
+  @Test
+  void crashingRequestIsKnownToTheOtherEntryOnTheFirstResend() {
+    crash(mesh.entry(0));
+    crash(mesh.entry(3));
+    long crashed = mesh.members().stream().filter(m -> m.ledger().runs() > 0).count();
+    assertThat(crashed).isBetween(1L, (long) MAX_CRASHES);
+  }
+
   @Test
   void silentConnectionsAreReplaced() {
     for (int i = 0; i < 20; i++) {
