--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -25,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -44,9 +45,6 @@
   private static final long REBUILD_INTERVAL_MILLIS = 500;
   private static final long SNAPSHOT_INTERVAL_MILLIS = 100;
   private static final long MEMBERS_INTERVAL_MILLIS = 150;
-  private static final long PING_LAGGING_MILLIS = 30_000;
-  private static final long PING_LAGGING_INTERVAL_MILLIS = 200;
-  private static final int MAX_LAGGING_PINGS = 64;
 
   private final ScheduledExecutorService thread =
       Executors.newSingleThreadScheduledExecutor(
@@ -59,11 +57,10 @@
   private final Clock clock;
   private final PlatformReads reads;
   private final List<ControlTask> tasks = new ArrayList<>();
+  private final LaggingPings laggingPings;
   private long handledChanges = -1;
   private long membersHandledMillis;
   private long builtMillis;
-  private long pingLaggingUntilMillis;
-  private long pingedMillis;
   private boolean tableStale = true;
   private long snapshotMillis;
   private volatile MeshSnapshot snapshot = MeshSnapshot.NONE;
@@ -81,6 +78,7 @@
     this.admission = components.admission();
     this.applyListener = components.applyListener();
     this.clock = clock;
+    this.laggingPings = new LaggingPings(state.membership);
     this.reads =
         new PlatformReads(
             components.table(), components.store(), state, thread, clock, this::carryOut);
@@ -131,22 +129,18 @@
    * @return completes once the reports of the requests in flight were sent
    */
   public CompletableFuture<Void> upstreamUnreachable() {
-    CompletableFuture<Void> reported = new CompletableFuture<>();
-    execute(
+    Runnable markUnreachable =
         () -> {
           if (state.upstream.markUnreachable()) {
             upstreamDown();
           }
-          // The reports are sent by a task of their own, which is queued by now.
-          execute(() -> reported.complete(null));
-        });
-    return reported;
+        };
+    // The reports are sent by a task of their own, queued before the second stage.
+    return CompletableFuture.runAsync(markUnreachable, this::execute)
+        .thenRunAsync(() -> {}, this::execute);
   }
 
-  /**
-   * Gossips the reports of requests that were in flight at a crash, at once, because their callers
-   * may resend them through other nodes.
-   */
+  /** Gossips the reports of requests in flight at a crash at once, as callers may resend them. */
   public void suspected(List<Suspicion> reports) {
     execute(
         () -> {
@@ -158,7 +152,11 @@
   /** Applies a configuration whose commit was accepted through this node, and announces it. */
   public void accepted(VersionMark mark, Configuration configuration, List<Change> changes) {
     execute(
-        () -> carryOut(state.distributor.accepted(mark, configuration, changes, clock.millis())));
+        () -> {
+          long now = clock.millis();
+          laggingPings.accepted(now);
+          carryOut(state.distributor.accepted(mark, configuration, changes, now));
+        });
   }
 
   @Override
@@ -241,7 +239,7 @@
     membersChanged(now);
     state.distributor.recorded(state.membership.recordedApplied());
     carryOut(state.distributor.tick(now));
-    pingLaggingMembers(now);
+    send(laggingPings.due(state.distributor.mark().version(), now));
     if (state.upstream.expire(now)) {
       upstreamDown();
     }
@@ -252,15 +250,6 @@
     updateSnapshot(now);
   }
 
-  /** Pings members that lag behind a version accepted here, so that its operator sees progress. */
-  private void pingLaggingMembers(long now) {
-    if (now < pingLaggingUntilMillis && now - pingedMillis >= PING_LAGGING_INTERVAL_MILLIS) {
-      pingedMillis = now;
-      send(
-          state.membership.pingLagging(state.distributor.mark().version(), MAX_LAGGING_PINGS, now));
-    }
-  }
-
   private void updateSnapshot(long now) {
     if (now - snapshotMillis < SNAPSHOT_INTERVAL_MILLIS) {
       return;
@@ -271,10 +260,8 @@
 
   private void received(PeerMessage message) {
     long now = clock.millis();
-    state
-        .membership
-        .find(message.sender())
-        .ifPresent(sender -> peers.messageReceived(sender.control(), message));
+    Optional<Member> from = state.membership.find(message.sender());
+    from.ifPresent(sender -> peers.messageReceived(sender.control(), message));
     send(state.membership.receive(message, now));
     mergeReports(now);
     carryOut(state.distributor.receive(message, now));
@@ -348,13 +335,11 @@
 
   private void upstreamChanged() {
     state.membership.endpoint(state.upstream.endpoint());
+    Endpoint endpoint = state.upstream.endpoint().orElse(null);
     state
         .upstream
         .address()
-        .ifPresent(
-            address ->
-                admission.announced(
-                    state.upstream.endpoint().orElseThrow(), address, gate(clock.millis())));
+        .ifPresent(address -> admission.announced(endpoint, address, gate(clock.millis())));
     membersChanged(clock.millis());
     refresh(clock.millis());
   }
@@ -367,7 +352,7 @@
       return;
     }
     boolean restoring =
-        state.distributor.configuration().domains().values().stream()
+        configuration().domains().values().stream()
             .anyMatch(DomainState.Restoring.class::isInstance);
     if (!tableStale && !(restoring && now - builtMillis >= REBUILD_INTERVAL_MILLIS)) {
       return;
