--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -76,14 +76,14 @@
   private int open;
 
   /** Creates the entry of a node; it refuses all requests until it has a configuration. */
-  public Entry(
+  Entry(
       EventLoop loop,
       FieldNames names,
       ServiceName callerService,
       PeerMesh mesh,
       LocalUpstream local,
       ServiceVersions versions,
-      EntrySettings settings,
+      RetryBudgets budgets,
       DecisionSink sink) {
     this.loop = loop;
     this.names = names;
@@ -91,7 +91,7 @@
     this.mesh = mesh;
     this.local = local;
     this.versions = versions;
-    this.budgets = new RetryBudgets(loop, settings, () -> mesh.peers().size() + 1);
+    this.budgets = budgets;
     this.sink = sink;
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -95,7 +95,8 @@
             mesh,
             upstream,
             versions,
-            settings.entry(),
+            new RetryBudgets(
+                loop, settings.retries(), () -> peersLoaded ? mesh.peers().size() + 1 : 0),
             sink);
     this.catchUp = new CatchUp(loop, mesh, this);
     this.moveLeader = new MoveLeader(loop, mesh, this, versions, durable, sink);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshSettings.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.retry.RetryBounds;
 import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.http.FieldNames;
@@ -15,7 +16,7 @@
  * @param callers the address it listens on for callers
  * @param upstream the address of the upstream beside it
  * @param names the header fields that the platform defines
- * @param entry the retry budget
+ * @param retries the retry budget
  * @param cold how far the request rate of cold upstreams may be exceeded
  * @param intake limits for large bodies received over the instance's link
  * @param graceMillis the maximum duration of a graceful shutdown
@@ -26,7 +27,7 @@
     InetSocketAddress callers,
     InetSocketAddress upstream,
     FieldNames names,
-    EntrySettings entry,
+    RetryBounds retries,
     ColdAllowance cold,
     IntakeSettings intake,
     long graceMillis) {}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/RetryBudgets.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/RetryBudgets.java
@@ -1,49 +1,44 @@
 package io.hemlockbend.proxy.mesh;
 
+import io.hemlockbend.core.api.Clock;
 import io.hemlockbend.core.api.ServiceName;
-import io.hemlockbend.core.retry.RetryBudget;
-import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.core.retry.RetryBounds;
+import io.hemlockbend.core.retry.SharedRetryBudget;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
 
-/** This node's share of the retry budget that all nodes together have for each service. */
+/** This node's parts of the retry budgets that all nodes share, one for each service. */
 final class RetryBudgets {
-  /** The share of the configured budget in use, because the nodes' windows do not coincide. */
-  private static final double USED_SHARE = 0.5;
-
-  /** The share of a window's slack that may accumulate for a burst, in addition to the floor. */
-  private static final double BURST_SHARE = 0.5;
-
-  private static final double MILLIS_PER_SECOND = 1000;
-
-  private final EventLoop loop;
-  private final EntrySettings settings;
+  private final Clock clock;
+  private final RetryBounds bounds;
   private final IntSupplier nodes;
-  private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
-
-  RetryBudgets(EventLoop loop, EntrySettings settings, IntSupplier nodes) {
-    this.loop = loop;
-    this.settings = settings;
+  private final long startMillis;
+  private final Map<ServiceName, SharedRetryBudget> budgets = new HashMap<>();
+
+  /**
+   * Creates the budgets of a node that starts now.
+   *
+   * @param clock the source of the current time
+   * @param bounds the budget of all nodes together, for each service
+   * @param nodes supplies the number of nodes; 0 while it is not known
+   */
+  RetryBudgets(Clock clock, RetryBounds bounds, IntSupplier nodes) {
+    this.clock = clock;
+    this.bounds = bounds;
     this.nodes = nodes;
+    this.startMillis = clock.millis();
   }
 
   void recordCall(ServiceName service) {
-    budget(service).recordCall();
+    budget(service).recordCall(nodes.getAsInt(), clock.millis());
   }
 
   boolean tryAcquire(ServiceName service) {
-    return budget(service).tryAcquire(loop.millis());
-  }
-
-  private RetryBudget budget(ServiceName service) {
-    return budgets.computeIfAbsent(service, name -> create());
+    return budget(service).tryAcquire(nodes.getAsInt(), clock.millis());
   }
 
-  private RetryBudget create() {
-    double perSecond = settings.retrySlack() / (settings.retryWindowMillis() / MILLIS_PER_SECOND);
-    double floor = USED_SHARE * perSecond / Math.max(1, nodes.getAsInt());
-    double burst = BURST_SHARE * settings.retrySlack() / Math.max(1, nodes.getAsInt());
-    return new RetryBudget(USED_SHARE * settings.retryShare(), floor, burst, loop.millis());
+  private SharedRetryBudget budget(ServiceName service) {
+    return budgets.computeIfAbsent(service, name -> new SharedRetryBudget(bounds, startMillis));
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.retry.RetryBounds;
 import io.hemlockbend.core.traffic.CallerLimits;
 import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.core.traffic.RetrySemantics;
@@ -42,7 +43,7 @@
   static final VersionName V1 = new VersionName("v1");
   static final FieldNames NAMES =
       new FieldNames("Id", "Deadline", "Seal", "Expected", "Not-Run", "Caller", "Up", "Cold");
-  static final EntrySettings ENTRY = new EntrySettings(0.2, 60, 10_000);
+  static final RetryBounds RETRIES = new RetryBounds(0.2, 60, 10_000);
   static final long GRACE_MILLIS = 6_000;
 
   /** The timeout of upload requests. */
@@ -82,7 +83,7 @@
               callers,
               upstream.address(),
               NAMES,
-              ENTRY,
+              RETRIES,
               ColdAllowance.NONE,
               intake,
               GRACE_MILLIS);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -215,8 +215,7 @@
       assertThat(MeshFixture.get(first, "/a/", "q" + i)).startsWith("HTTP/1.1 503");
     }
     assertThat((double) mesh.ran.size() - requests)
-        .isLessThanOrEqualTo(
-            MeshFixture.ENTRY.retryShare() * requests + MeshFixture.ENTRY.retrySlack());
+        .isLessThanOrEqualTo(MeshFixture.RETRIES.ratio() * requests + MeshFixture.RETRIES.slack());
   }
 
   @Test
