--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
@@ -31,6 +31,32 @@
     boolean draining,
     long coldMillis,
     long sequence) {
+  /** More than one process runs at once; larger values overflow sums of queues. */
+  private static final int MAX_SLOTS = 100_000;
+
+  private static final long MAX_COLD_MILLIS = 86_400_000;
+
+  /**
+   * Validates the numbers, which other processes supply.
+   *
+   * @throws IllegalArgumentException if one is out of range
+   */
+  public UpstreamRecord {
+    if (slots < 1 || slots > MAX_SLOTS) {
+      throw new IllegalArgumentException("slots must be 1 to " + MAX_SLOTS + ", got " + slots);
+    }
+    if (coldMillis < 0 || coldMillis > MAX_COLD_MILLIS) {
+      throw new IllegalArgumentException(
+          "cold time must be 0 to " + MAX_COLD_MILLIS + " ms, got " + coldMillis);
+    }
+    if (startedMillis < 0 || sequence < 0) {
+      throw new IllegalArgumentException(
+          "start time and sequence must not be negative, got "
+              + startedMillis
+              + " and "
+              + sequence);
+    }
+  }
 
   /** Returns whether this record supersedes another one for the same address. */
   public boolean newerThan(UpstreamRecord other) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeInfo.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeInfo.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
 /**
@@ -14,8 +15,22 @@
  * @param startedMillis when its process started, by its own wall clock; distinguishes restarts
  */
 public record NodeInfo(NodeId node, String ip, int port, FailureDomain domain, long startedMillis) {
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Validates the address, so that a node with an invalid one is not dialed again and again.
+   *
+   * @throws IllegalArgumentException if the IP address is no literal or the port is out of range
+   */
+  public NodeInfo {
+    InetAddress.ofLiteral(ip);
+    if (port < 1 || port > MAX_PORT) {
+      throw new IllegalArgumentException("port must be 1 to " + MAX_PORT + ", got " + port);
+    }
+  }
+
   /** Returns the address that other nodes connect to. */
   public InetSocketAddress address() {
-    return new InetSocketAddress(ip, port);
+    return new InetSocketAddress(InetAddress.ofLiteral(ip), port);
   }
 }
