--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.admission.NestedCallDetector;
+import io.hemlockbend.core.admission.NestedRouteDetector;
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.api.ServiceName;
@@ -70,6 +71,7 @@
   private final UpstreamChooser chooser = new UpstreamChooser(random);
   private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
   private final Map<ServiceName, NestedCallDetector> nestedCallDetectors = new HashMap<>();
+  private final NestedRouteDetector nestedRoutes = new NestedRouteDetector();
   private TrafficConfiguration configuration;
   private Set<FailureDomain> withdrawn = Set.of();
   private long shutdownMillis = Long.MAX_VALUE;
@@ -151,13 +153,14 @@
       return;
     }
     ServiceName service = nextService(route);
-    budgets.recordCall(service);
+    boolean nestedRoute = nestedRoutes.detect(route.name(), local.running() > 0);
+    budgets.recordCall(service, nestedRoute, nestedRoute ? local.repeatShare() : 0);
     open++;
     boolean nestedCall =
         nestedCallDetectors
             .computeIfAbsent(service, name -> new NestedCallDetector())
             .detect(deadlineMillis - loop.millis(), loop.millis());
-    new EntryCall(this, exchange, route, service, deadlineMillis, nestedCall).place();
+    new EntryCall(this, exchange, route, service, deadlineMillis, nestedCall, nestedRoute).place();
   }
 
   EventLoop loop() {
@@ -168,8 +171,8 @@
     return random;
   }
 
-  boolean tryAcquireRetry(ServiceName service) {
-    return budgets.tryAcquire(service);
+  boolean tryAcquireRetry(EntryCall call) {
+    return budgets.tryAcquire(call.service(), call.nestedRoute());
   }
 
   boolean hasCandidate(EntryCall call) {
@@ -218,6 +221,7 @@
             call.route().idempotent(),
             call.targetLeftMillis(),
             call.remainingMillis(),
+            call.reachedUpstream(),
             new HttpRequest(
                 request.method(), request.target(), forwarded(request), request.body()));
     counters.placements++;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/EntryCall.java
@@ -27,10 +27,11 @@
   private final ServiceName service;
   private final long deadlineMillis;
   private final Set<NodeId> refusedBy = new HashSet<>();
-  private final Set<NodeId> ranOn = new HashSet<>();
+  private final Set<NodeId> reached = new HashSet<>();
   private final StringBuilder tries = new StringBuilder();
   private final Timer deadline;
   private final boolean nestedCall;
+  private final boolean nestedRoute;
   private final long readMillis;
   private HttpReply failure;
   private Runnable cancelRun;
@@ -47,9 +48,11 @@
       TrafficRoute route,
       ServiceName service,
       long deadlineMillis,
-      boolean nestedCall) {
+      boolean nestedCall,
+      boolean nestedRoute) {
     this.entry = entry;
     this.nestedCall = nestedCall;
+    this.nestedRoute = nestedRoute;
     this.exchange = exchange;
     this.route = route;
     this.service = service;
@@ -108,8 +111,23 @@
     return missedTarget && !nestedCall;
   }
 
+  /** Returns whether the route is one of nested calls. */
+  boolean nestedRoute() {
+    return nestedRoute;
+  }
+
+  /** Returns whether an upstream has got the request, even if it refused it. */
+  boolean reachedUpstream() {
+    return !reached.isEmpty();
+  }
+
+  /**
+   * Returns whether a node must not get the request. An upstream that has got it does not get it
+   * again, also not after its own refusal: a refusal that it repeats by mistake would then be taken
+   * for that of the second sending.
+   */
   boolean excluded(NodeId node) {
-    return refusedBy.contains(node) || ranOn.contains(node);
+    return refusedBy.contains(node) || reached.contains(node);
   }
 
   /**
@@ -159,7 +177,7 @@
       case RunEnd.Answered answered -> answered(node, answered);
       case RunEnd.NotRun notRun -> notRun(node, notRun);
       case RunEnd.Lost lost -> {
-        ranOn.add(node);
+        reached.add(node);
         if (failure == null) {
           failure = ErrorReplies.lost(lost.reason());
         }
@@ -170,13 +188,18 @@
 
   /** Places the request elsewhere; this uses the retry budget if an upstream itself refused it. */
   private void notRun(NodeId node, RunEnd.NotRun notRun) {
-    refusedBy.add(node);
     lastRefusal = notRun.reason();
-    if (notRun.reachedUpstream() && !entry.tryAcquireRetry(service)) {
-      refuse(notRun.reason(), FULL_RETRY_AFTER_MILLIS);
+    if (!notRun.reachedUpstream()) {
+      refusedBy.add(node);
+      place();
       return;
     }
-    place();
+    reached.add(node);
+    if (mayReachAnother()) {
+      place();
+    } else {
+      refuse(notRun.reason(), FULL_RETRY_AFTER_MILLIS);
+    }
   }
 
   private void answered(NodeId node, RunEnd.Answered answered) {
@@ -187,20 +210,14 @@
       finish(answered.reply(), EntryOutcome.ANSWERED, "", node);
       return;
     }
-    ranOn.add(node);
+    reached.add(node);
     failure = answered.reply();
     retryOrFail("status " + status);
   }
 
   /** Retries the request on another upstream if allowed, otherwise responds with the failure. */
   private void retryOrFail(String why) {
-    boolean allowed =
-        route.idempotent()
-            && ranOn.size() < route.maxAttempts()
-            && remainingMillis() > 0
-            && entry.hasCandidate(this)
-            && entry.tryAcquireRetry(service);
-    if (!allowed) {
+    if (!route.idempotent() || !mayReachAnother()) {
       finish(failure, EntryOutcome.FAILED, why, null);
       return;
     }
@@ -208,6 +225,14 @@
     place();
   }
 
+  /** Returns whether another upstream may get the request; takes that from the retry budget. */
+  private boolean mayReachAnother() {
+    return reached.size() < route.maxAttempts()
+        && remainingMillis() > 0
+        && entry.hasCandidate(this)
+        && entry.tryAcquireRetry(this);
+  }
+
   private void refuse(String reason, long afterMillis) {
     if (failure != null) {
       finish(failure, EntryOutcome.FAILED, reason, null);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/RetryBudgets.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/RetryBudgets.java
@@ -30,12 +30,14 @@
     this.startMillis = clock.millis();
   }
 
-  void recordCall(ServiceName service) {
-    budget(service).recordCall(nodes.getAsInt(), clock.millis());
+  /** Records a request, see {@link SharedRetryBudget#recordCall}. */
+  void recordCall(ServiceName service, boolean nested, double repeatProbability) {
+    budget(service).recordCall(nested, repeatProbability, nodes.getAsInt(), clock.millis());
   }
 
-  boolean tryAcquire(ServiceName service) {
-    return budget(service).tryAcquire(nodes.getAsInt(), clock.millis());
+  /** Takes one retry from the budget of a service; returns false if it is exhausted. */
+  boolean tryAcquire(ServiceName service, boolean nested) {
+    return budget(service).tryAcquire(nested, nodes.getAsInt(), clock.millis());
   }
 
   private SharedRetryBudget budget(ServiceName service) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunCodec.java
@@ -31,6 +31,7 @@
     packer.packString(run.http().method()).packString(run.http().target());
     writeFields(packer, run.http().fields());
     writeBytes(packer, run.http().body());
+    packer.packBoolean(run.repeat());
   }
 
   static RunRequest readRequest(MessageUnpacker unpacker) throws IOException {
@@ -47,8 +48,19 @@
     String target = unpacker.unpackString();
     List<HttpField> fields = readFields(unpacker);
     HttpRequest http = new HttpRequest(method, target, fields, readBytes(unpacker));
+    // Nodes of earlier versions do not send it.
+    boolean repeat = unpacker.hasNext() && unpacker.unpackBoolean();
     return new RunRequest(
-        id, route, version, upstream, priority, idempotent, targetMillis, remainingMillis, http);
+        id,
+        route,
+        version,
+        upstream,
+        priority,
+        idempotent,
+        targetMillis,
+        remainingMillis,
+        repeat,
+        http);
   }
 
   static void writeEnd(MessageBufferPacker packer, RunEnd end) throws IOException {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RunRequest.java
@@ -16,6 +16,7 @@
  * @param targetMillis how much longer an answer is in time; 0 when the request is late already and
  *     runs only where nothing else waits
  * @param remainingMillis how much longer its caller waits
+ * @param repeat whether another upstream has got the request before
  * @param http the request to the upstream, without the header fields that are added when it is sent
  */
 public record RunRequest(
@@ -27,6 +28,7 @@
     boolean idempotent,
     long targetMillis,
     long remainingMillis,
+    boolean repeat,
     HttpRequest http) {
   /** Returns the request with another body. */
   public RunRequest withBody(byte[] body) {
@@ -40,6 +42,7 @@
         idempotent,
         targetMillis,
         remainingMillis,
+        repeat,
         httpWithBody);
   }
 
@@ -55,6 +58,6 @@
 
   private RunRequest withTimes(long target, long remaining) {
     return new RunRequest(
-        id, route, version, upstream, priority, idempotent, target, remaining, http);
+        id, route, version, upstream, priority, idempotent, target, remaining, repeat, http);
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -191,6 +191,11 @@
     return pool.opened();
   }
 
+  /** Returns the share of the running requests that are repeats, 0 to 1. */
+  public double repeatShare() {
+    return dispatcher.repeatShare();
+  }
+
   /** Returns why the upstream accepts no requests now, or null when it does. */
   public String closedReason() {
     if (domainWithdrawn) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
@@ -73,6 +73,7 @@
   private UpstreamRecord record;
   private double serviceMillis;
   private boolean grantScheduled;
+  private int repeatsRunning;
 
   UpstreamDispatcher(
       EventLoop loop,
@@ -135,6 +136,12 @@
     return controller == null ? 0 : controller.inFlight();
   }
 
+  /** Returns the share of the running requests that are repeats, 0 to 1. */
+  double repeatShare() {
+    int running = running();
+    return running == 0 ? 0 : Math.min(1, (double) repeatsRunning / running);
+  }
+
   List<RouteCounts> counts() {
     return tally.counts();
   }
@@ -179,6 +186,7 @@
 
   private void start(RunningCall call, Permit permit) {
     call.permit = permit;
+    repeatsRunning += call.run.repeat() ? 1 : 0;
     long nowMillis = loop.millis();
     if (call.controller.recheck(call.admission, nowMillis).isPresent()) {
       release(call, RunOutcome.NOT_SENT);
@@ -241,6 +249,7 @@
   }
 
   private void release(RunningCall call, RunOutcome outcome) {
+    repeatsRunning -= call.run.repeat() ? 1 : 0;
     long nowMillis = loop.millis();
     double elapsedMillis = call.sentMillis == 0 ? 0 : nowMillis - call.sentMillis;
     AdmissionChanges changes =
@@ -298,6 +307,8 @@
         return;
       }
       if (reply.field(names.notRun()) != null) {
+        // An upstream that sheds answers fast and would attract requests by its short queue.
+        failures.record(true, loop.millis());
         release(call, RunOutcome.BROKEN);
         call.end(new RunEnd.NotRun("upstream-full", true));
         return;
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/RetryBudgetsProperties.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/RetryBudgetsProperties.java
@@ -4,6 +4,7 @@
 
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.retry.RetryBounds;
+import java.util.ArrayDeque;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -15,7 +16,8 @@
  * not know the others at first. In each window, the retries of all nodes stay within the bound.
  */
 class RetryBudgetsProperties {
-  private static final ServiceName SERVICE = new ServiceName("atelier");
+  private static final ServiceName ORDERS = new ServiceName("commandes");
+  private static final ServiceName STOCK = new ServiceName("atelier");
   private static final long WINDOW_MILLIS = 10_000;
   private static final long STEP_MILLIS = 100;
   private static final int STEPS = 400;
@@ -24,10 +26,19 @@
   private static final long NODES_UNKNOWN_MILLIS = 1_500;
   private static final RetryBounds BOUNDS = new RetryBounds(0.2, 62, WINDOW_MILLIS);
 
-  private final int[] requests = new int[STEPS];
-  private final int[] retries = new int[STEPS];
+  /** How many of the latest runs at the first service the share of repeats is taken from. */
+  private static final int RECENT_RUNS = 40;
+
+  private final Counts orders = new Counts();
+  private final Counts stock = new Counts();
+  private final ArrayDeque<Boolean> recentRuns = new ArrayDeque<>();
   private long now;
 
+  private static final class Counts {
+    final int[] requests = new int[STEPS];
+    final int[] retries = new int[STEPS];
+  }
+
   @Property(tries = 60, seed = "22")
   void retriesOfAllNodesStayWithinTheBound(
       @ForAll @IntRange(min = 12, max = 95) int nodes,
@@ -43,13 +54,18 @@
         budgets = start(nodes);
       }
       for (int i = 0; i < requestsPerStep; i++) {
-        request(budgets[draw(weights, random)], step);
+        requestOrder(budgets, budgets[draw(weights, random)], step, random);
       }
     }
+    assertWithinBound(orders);
+    assertWithinBound(stock);
+  }
+
+  private static void assertWithinBound(Counts counts) {
     for (int end = 3 * STEPS_PER_WINDOW / 2; end <= STEPS; end++) {
-      assertThat(sum(retries, end))
+      assertThat(sum(counts.retries, end))
           .as("retries of the window that ends with step %d", end)
-          .isLessThanOrEqualTo((int) (BOUNDS.ratio() * mostRequests(end) + BOUNDS.slack()));
+          .isLessThanOrEqualTo((int) (BOUNDS.ratio() * mostRequests(counts, end) + BOUNDS.slack()));
     }
   }
 
@@ -64,11 +80,28 @@
     return started;
   }
 
-  private void request(RetryBudgets budgets, int step) {
-    requests[step]++;
-    budgets.recordCall(SERVICE);
-    for (int i = 0; i < MAX_RETRIES_PER_REQUEST && budgets.tryAcquire(SERVICE); i++) {
-      retries[step]++;
+  private void requestOrder(
+      RetryBudgets[] all, RetryBudgets entry, int step, SplittableRandom random) {
+    orders.requests[step]++;
+    entry.recordCall(ORDERS, false, 0);
+    requestStock(all[random.nextInt(all.length)], false, step);
+    for (int i = 0; i < MAX_RETRIES_PER_REQUEST && entry.tryAcquire(ORDERS, false); i++) {
+      orders.retries[step]++;
+      requestStock(all[random.nextInt(all.length)], true, step);
+    }
+  }
+
+  private void requestStock(RetryBudgets entry, boolean repeated, int step) {
+    recentRuns.add(repeated);
+    if (recentRuns.size() > RECENT_RUNS) {
+      recentRuns.poll();
+    }
+    double repeats = recentRuns.stream().filter(repeat -> repeat).count();
+    stock.requests[step]++;
+    stock.retries[step] += repeated ? 1 : 0;
+    entry.recordCall(STOCK, true, repeats / recentRuns.size());
+    for (int i = 0; i < MAX_RETRIES_PER_REQUEST && entry.tryAcquire(STOCK, true); i++) {
+      stock.retries[step]++;
     }
   }
 
@@ -87,10 +120,10 @@
   }
 
   /** Returns the requests of the window, or of the one half a window or a window before it. */
-  private int mostRequests(int end) {
+  private static int mostRequests(Counts counts, int end) {
     int most = 0;
     for (int lag = 0; lag <= STEPS_PER_WINDOW; lag += STEPS_PER_WINDOW / 2) {
-      most = Math.max(most, sum(requests, end - lag));
+      most = Math.max(most, sum(counts.requests, end - lag));
     }
     return most;
   }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/WholeBodyRunTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/WholeBodyRunTest.java
@@ -92,6 +92,7 @@
         false,
         targetMillis,
         remainingMillis,
+        false,
         new HttpRequest("POST", "/up/", List.of(), new byte[20_000]));
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -80,11 +80,21 @@
         new HttpRequest("POST", "/a/b?c=%20", List.of(new HttpField("X-A", "b")), body);
     RunRequest run =
         new RunRequest(
-            "id", "r1", new VersionKey(QUOTES, V1), new UpstreamId("i-1"), 1, false, -5, 900, http);
+            "id",
+            "r1",
+            new VersionKey(QUOTES, V1),
+            new UpstreamId("i-1"),
+            1,
+            false,
+            -5,
+            900,
+            true,
+            http);
     NodeMessage.Run read = (NodeMessage.Run) roundTrip(new NodeMessage.Run(6, run, 70_000));
     assertThat(read.request().http().body()).isEqualTo(body);
     assertThat(read.request().http().target()).isEqualTo("/a/b?c=%20");
     assertThat(read.request().targetMillis()).isEqualTo(-5);
+    assertThat(read.request().repeat()).isTrue();
 
     HttpReply reply = new HttpReply(207, List.of(new HttpField("X-B", "c")), body);
     NodeMessage.Ended ended =
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LateRequestAdmissionTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LateRequestAdmissionTest.java
@@ -87,6 +87,7 @@
             true,
             job.late() ? 0 : TARGET_MILLIS,
             DEADLINE_MILLIS,
+            false,
             new HttpRequest("GET", "/", List.of(), new byte[0]));
     switch (controller.offer(AdmissionRequests.of(run, new RequestId("f"), now), now)) {
       case AdmissionDecision.Admitted admitted -> start(admitted.permit(), job, now);
