--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
@@ -19,9 +19,9 @@
 
 /**
  * A connection to a server with one request at a time. An answer is delivered only when it is
- * complete; if it has the id of another request, it is dropped. The connection ends on unsolicited
- * bytes, on too many interim or mismatched answers, and if its partial answer is the largest of all
- * when their common size limit is reached.
+ * complete; if it does not have the id of the request, it is dropped. The connection ends on
+ * unsolicited bytes, on too many interim or mismatched answers, and if its partial answer is the
+ * largest of all when their common size limit is reached.
  */
 public final class HttpClientConnection extends LoopConnection
     implements HttpParser.ResponseHandler {
@@ -222,8 +222,9 @@
       drop();
       return;
     }
-    String id = HttpMessages.value(fields, idField);
-    if (id != null && expectedId != null && !id.equals(expectedId)) {
+    // Without an id it may be an earlier answer, sent again; a refusal among them would be
+    // believed.
+    if (expectedId != null && !expectedId.equals(HttpMessages.value(fields, idField))) {
       mismatched = true;
       drop();
       return;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/LoopConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/LoopConnection.java
@@ -109,7 +109,8 @@
           return;
         }
       }
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException | VirtualMachineError e) {
+      // Whatever a message causes must cost its connection only.
       end(e);
     }
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -224,7 +224,8 @@
   private static void run(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | VirtualMachineError e) {
+      // An overflowed stack or heap must cost its task only, as the loop serves all others.
       LOGGER.error("event loop task failed", e);
     }
   }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
@@ -2,17 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.hemlockbend.proxy.http.LoopConnection;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.EndPoint;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventLoopTest {
   private static final int FILL_TIMEOUT_MILLIS = 200;
@@ -46,6 +51,77 @@
     }
   }
 
+  @Test
+  void failedTasksDoNotStopTheLoop() throws Exception {
+    try (EventLoop loop = new EventLoop()) {
+      loop.start();
+      loop.execute(
+          () -> {
+            throw new IllegalStateException("a task that fails");
+          });
+      loop.execute(
+          () -> {
+            throw new StackOverflowError("a task that recurses");
+          });
+      assertRuns(loop);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void failureInAConnectionClosesItOnly(boolean error) throws Exception {
+    try (EventLoop loop = new EventLoop()) {
+      loop.start();
+      InetSocketAddress address =
+          CompletableFuture.supplyAsync(
+                  () ->
+                      loop.listen(
+                          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                          endPoint -> new FailingConnection(endPoint, loop, error)),
+                  loop::execute)
+              .join();
+      try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        socket.getOutputStream().write(1);
+        assertThat(socket.getInputStream().read()).isEqualTo(-1);
+      }
+      assertRuns(loop);
+    }
+  }
+
+  private static void assertRuns(EventLoop loop) throws Exception {
+    CompletableFuture<Boolean> ran = new CompletableFuture<>();
+    loop.execute(() -> ran.complete(true));
+    assertThat(ran.get(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+  }
+
+  private static final class FailingConnection extends LoopConnection {
+    private final boolean error;
+
+    FailingConnection(EndPoint endPoint, EventLoop loop, boolean error) {
+      super(endPoint, loop);
+      this.error = error;
+    }
+
+    @Override
+    protected void received(ByteBuffer bytes) {
+      if (error) {
+        throw new StackOverflowError("a message that recurses");
+      }
+      throw new IllegalStateException("an unexpected message");
+    }
+
+    @Override
+    protected void inputEnded() {
+      end(null);
+    }
+
+    @Override
+    protected void ended(Throwable cause) {
+      // Nothing is held.
+    }
+  }
+
   /** Fills the accept queue of the server, so that further connections are not answered. */
   private static void fill(ServerSocket silent, List<Socket> fillers) throws IOException {
     int unanswered = 0;
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/UpstreamPoolTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/UpstreamPoolTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class UpstreamPoolTest {
   private static final int WAIT_SECONDS = 10;
@@ -66,6 +68,27 @@
     }
   }
 
+  /** A refusal says that the request has not run; one of another request must never be believed. */
+  @ParameterizedTest
+  @ValueSource(strings = {"Id: 1\r\n", ""})
+  void discardsRepeatedRefusalOfAnEarlierRequest(String idLine) throws Exception {
+    String refusal =
+        "HTTP/1.1 503 Full\r\n" + idLine + "Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.write(socket, answer(RawServer.readRequestId(socket), "first"));
+              String id = RawServer.readRequestId(socket);
+              RawServer.write(socket, refusal + answer(id, "right"));
+              RawServer.readRequestId(socket);
+            })) {
+      UpstreamPool pool = pool(server.address());
+      assertThat(call(pool, "1")).isEqualTo("200 first");
+      assertThat(call(pool, "2")).isEqualTo("200 right");
+      assertThat(server.accepted()).isEqualTo(1);
+    }
+  }
+
   @Test
   void doesNotReuseConnectionAfterUnsolicitedAnswer() throws Exception {
     try (RawServer server =
