--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
@@ -58,6 +58,12 @@
     }
   }
 
+  /** Returns this record as that of an upstream that is shutting down. */
+  public UpstreamRecord asDraining() {
+    return new UpstreamRecord(
+        id, startedMillis, service, version, domain, address, slots, true, coldMillis, sequence);
+  }
+
   /** Returns whether this record supersedes another one for the same address. */
   public boolean newerThan(UpstreamRecord other) {
     if (startedMillis != other.startedMillis) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.peer.MoveOrder;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /** Persists state that must survive a node, shared by all nodes and the operator. */
@@ -16,9 +17,11 @@
 
   /**
    * Saves the first announcement of an upstream process beside this node, so that a restarted node
-   * need not wait for the next one.
+   * need not wait for the next one, and later that it leaves, so that a restarted node does not use
+   * it again.
    *
-   * @param upstream the announced record
+   * @param upstream the record
+   * @return completes normally or exceptionally when the attempt to save it has ended
    */
-  void saveUpstream(UpstreamRecord upstream);
+  CompletableFuture<Void> saveUpstream(UpstreamRecord upstream);
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -16,7 +16,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * The upstream beside this node. Its identity and whether it accepts work follow from its
@@ -38,8 +40,9 @@
   private final DecisionSink sink;
   private final CrashWatch crashes;
   private final Runnable changeListener;
-  private final Consumer<UpstreamRecord> processListener;
+  private final Function<UpstreamRecord, CompletableFuture<Void>> saver;
   private final ColdRateLimiter coldRate;
+  private CompletableFuture<Void> saved = CompletableFuture.completedFuture(null);
   private UpstreamRecord record;
   private UpstreamState state = UpstreamState.UNKNOWN;
   private String healthPath = "/health";
@@ -57,7 +60,7 @@
    * @param sink logs decisions
    * @param crashes detects requests that crash upstreams
    * @param changeListener called when the upstream's record or state changed
-   * @param processListener called when another process of the upstream announced itself
+   * @param saver saves the record of another process of the upstream, and of one that leaves
    */
   public LocalUpstream(
       EventLoop loop,
@@ -67,13 +70,13 @@
       DecisionSink sink,
       CrashWatch crashes,
       Runnable changeListener,
-      Consumer<UpstreamRecord> processListener) {
+      Function<UpstreamRecord, CompletableFuture<Void>> saver) {
     this.loop = loop;
     this.coldRate = new ColdRateLimiter(cold);
     this.sink = sink;
     this.crashes = crashes;
     this.changeListener = changeListener;
-    this.processListener = processListener;
+    this.saver = saver;
     this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
     this.pool =
         new UpstreamPool(
@@ -96,18 +99,16 @@
         || record != null && !announcement.newerThan(record)) {
       return false;
     }
-    boolean sameProcess =
-        record != null
-            && record.id().equals(announcement.id())
-            && record.startedMillis() == announcement.startedMillis();
+    boolean sameProcess = record != null && sameProcess(announcement);
     if (!sameProcess) {
       startProcess(announcement);
-      processListener.accept(announcement);
+      save(announcement);
     }
-    record = announcement;
     if (state == UpstreamState.LEAVING) {
+      record = announcement.asDraining();
       return true;
     }
+    record = announcement;
     coldRate.coldFor(announcement.coldMillis(), loop.millis());
     if (announcement.draining()) {
       markLeaving("draining");
@@ -120,15 +121,36 @@
 
   /**
    * Restores the record that was stored before this node restarted. The upstream gets work once a
-   * health check shows that it is still the same one.
+   * health check shows that it is still the same one; never, if it was leaving, although late
+   * announcements and health checks may say otherwise.
    */
   public void restore(UpstreamRecord stored) {
-    if (record != null || stored.draining() || !stored.address().equals(address)) {
+    boolean leaves = stored.draining() && (record == null || sameProcess(stored));
+    if (record != null && !leaves || !stored.address().equals(address)) {
       return;
     }
-    startProcess(stored);
-    record = stored;
-    markDown("node restarted");
+    if (record == null) {
+      startProcess(stored);
+      record = stored;
+    }
+    if (leaves) {
+      leave("was leaving before the node restarted");
+      changeListener.run();
+    } else {
+      markDown("node restarted");
+    }
+  }
+
+  /**
+   * Returns a future that completes when the attempt to save the latest change of the record has
+   * ended.
+   */
+  public CompletableFuture<Void> saved() {
+    return saved;
+  }
+
+  private boolean sameProcess(UpstreamRecord other) {
+    return record.id().equals(other.id()) && record.startedMillis() == other.startedMillis();
   }
 
   /**
@@ -278,6 +300,17 @@
   }
 
   private void markLeaving(String reason) {
+    leave(reason);
+    record = record.asDraining();
+    save(record);
+  }
+
+  /** Saves a record after the one before it, so that the latest one is what remains. */
+  private void save(UpstreamRecord latest) {
+    saved = saved.handle((done, failure) -> null).thenCompose(done -> saver.apply(latest));
+  }
+
+  private void leave(String reason) {
     state = UpstreamState.LEAVING;
     dispatcher.dropAll("upstream-leaving");
     sink.emit("upstream-leaves", null, "upstream", record.id(), "why", reason);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -274,8 +274,9 @@
     }
 
     @Override
-    public void saveUpstream(UpstreamRecord upstream) {
+    public CompletableFuture<Void> saveUpstream(UpstreamRecord upstream) {
       // Tests restore records themselves.
+      return CompletableFuture.completedFuture(null);
     }
   }
 }
