--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/AcceptedLink.java
@@ -55,6 +55,7 @@
         connection.send(new NodeMessage.Report(ping.sentMillis(), owner.report()));
         mesh.pingReceived(ping.report());
       }
+      case NodeMessage.Silence silence -> mesh.silenceReported(silence.node());
       case NodeMessage.Run run -> run(connection, run);
       case NodeMessage.BodyChunk chunk -> appendChunk(connection, chunk);
       case NodeMessage.Cancel cancel -> {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -62,7 +62,9 @@
   }
 
   private void tick() {
-    if (!isLeader()) {
+    boolean leader = isLeader();
+    mesh.leadsMove(leader && versions.anyMoveRunning());
+    if (!leader) {
       ledMoves.clear();
       return;
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -20,6 +20,19 @@
   long dialedMillis;
   long failedDials;
   long pingedMillis;
+
+  /** When anything was last received on the link to the node. */
+  long heardMillis;
+
+  /** When another node said that this one does not answer it. */
+  long silenceReportedMillis = Long.MIN_VALUE / 2;
+
+  /** Whether this node has told others that the node does not answer. */
+  boolean silenceTold;
+
+  /** Whether it is in this node's failure domain. */
+  final boolean near;
+
   private long pingOutstandingSinceMillis;
   private boolean pingOutstanding;
   boolean dialing;
@@ -27,8 +40,9 @@
   private final Map<Long, SentRun> runs = new HashMap<>();
   private int outstandingAtLoad;
 
-  Peer(NodeInfo info) {
+  Peer(NodeInfo info, boolean near) {
     this.info = info;
+    this.near = near;
   }
 
   /**
@@ -52,6 +66,7 @@
   /** Records that a ping was answered or that the link was replaced. */
   void pingAnswered() {
     pingOutstanding = false;
+    silenceTold = false;
   }
 
   /** Returns how long the oldest ping on the link has been unanswered; 0 if none is. */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -42,8 +42,9 @@
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private final Set<PeerConnection> acceptedLinks = new HashSet<>();
   private final NodeDiscovery discovery = new NodeDiscovery();
-  private final PingSchedule schedule = new PingSchedule(peers::size);
+  private final PingSchedule schedule = new PingSchedule(peers.values());
   private final BodyTransfers bodies;
+  private final SilentNodes silentNodes;
   private long nextStream = 1;
   private long lastFetchMillis;
   private long pings;
@@ -57,6 +58,7 @@
     this.owner = owner;
     this.sink = sink;
     this.bodies = new BodyTransfers(loop, intake, owner, sink);
+    this.silentNodes = new SilentNodes(peers, schedule, this::ping, sink);
     loop.every(TICK_MILLIS, this::tick);
   }
 
@@ -72,7 +74,7 @@
     }
     Peer peer = peers.get(info.node());
     if (peer == null) {
-      peer = new Peer(info);
+      peer = new Peer(info, info.domain().equals(self.domain()));
       peers.put(info.node(), peer);
       owner.discovered(info);
       dial(peer);
@@ -171,6 +173,9 @@
         offered
             ? new NodeMessage.Run(stream, request.withBody(NO_BODY), body.length)
             : new NodeMessage.Run(stream, request, 0));
+    if (schedule.dueWithRequest(peer, loop.millis())) {
+      ping(peer, loop.millis());
+    }
     return () -> {
       if (peer.removeRun(stream) != null) {
         link.send(new NodeMessage.Cancel(stream));
@@ -210,14 +215,20 @@
       if (peer.link == null) {
         redialWhenDue(peer, nowMillis);
       } else if (schedule.timedOut(peer, nowMillis)) {
-        logLink("link-silent", peer, peer.link, null);
+        LinkLog.write(sink, "link-silent", peer, peer.link, null, nowMillis);
         peer.link.end(null);
       } else if (schedule.due(peer, nowMillis)) {
         ping(peer, nowMillis);
       }
+      silentNodes.check(peer, nowMillis);
     }
   }
 
+  /** Sets whether this node leads a move, which needs recent reports of all nodes. */
+  void leadsMove(boolean leads) {
+    schedule.leadsMove(leads);
+  }
+
   private void ping(Peer peer, long nowMillis) {
     peer.pingSent(nowMillis);
     pings++;
@@ -244,26 +255,9 @@
     return pings;
   }
 
-  /** Logs the state of a link, with values that show whether node, peer or network is slow. */
-  private void logLink(String event, Peer peer, PeerConnection link, Throwable cause) {
-    long nowMillis = loop.millis();
-    sink.emit(
-        event,
-        null,
-        "peer",
-        peer.info.node(),
-        "cause",
-        cause,
-        "reportAgeMillis",
-        nowMillis - peer.reportMillis,
-        "bytesAgeMillis",
-        nowMillis - link.lastReceivedMillis(),
-        "pendingBytes",
-        link.pendingBytes(),
-        "partialBytes",
-        link.partialBytes(),
-        "open",
-        peer.outstanding());
+  /** Handles another node's word that a node does not answer it. */
+  void silenceReported(NodeId node) {
+    silentNodes.reported(node, loop.millis());
   }
 
   /** Returns the number of bytes waiting to be sent to other nodes. */
@@ -326,6 +320,7 @@
       peer.link = connection;
       peer.pingAnswered();
       peer.dialedMillis = loop.millis();
+      peer.heardMillis = peer.dialedMillis;
       connection.send(new NodeMessage.Hello(self, peers.size() + 1));
       ping(peer, loop.millis());
       sink.emit("link-open", null, "peer", peer.info.node());
@@ -333,6 +328,7 @@
 
     @Override
     public void received(PeerConnection connection, NodeMessage message) {
+      peer.heardMillis = loop.millis();
       switch (message) {
         case NodeMessage.Report report -> reported(connection, report);
         case NodeMessage.Ended ended -> {
@@ -386,7 +382,7 @@
       if (peer.link != connection) {
         return;
       }
-      logLink("link-lost", peer, connection, cause);
+      LinkLog.write(sink, "link-lost", peer, connection, cause, loop.millis());
       peer.link = null;
       peer.report = null;
       peer.dialedMillis = loop.millis();
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
@@ -1,18 +1,24 @@
 package io.hemlockbend.proxy.mesh;
 
-import java.util.function.IntSupplier;
+import java.util.Collection;
 
 /**
  * Decides when to ping other nodes and detects failed ones from overdue reports and answers. A ping
- * carries its sender's report, so the two nodes of a pair ping alternately to save messages: in a
- * large mesh, most of a node's messages are pings and their answers.
+ * carries its sender's report, so the two nodes of a pair ping alternately to save messages.
+ *
+ * <p>In a large mesh, most of what an idle node costs are pings and their answers. The nodes of
+ * other failure domains are therefore pinged less often the more there are, and a failed node is
+ * noticed by whichever node pings it first: that one tells the others, and each of them checks its
+ * own link at once. With n nodes that each ping n others in a period of n/r seconds, a node gets r
+ * pings a second however large the mesh is, so the first of them is late by 1/r seconds at most.
  */
 final class PingSchedule {
   private static final long MIN_PERIOD_MILLIS = 500;
-  private static final long MAX_PERIOD_MILLIS = 1_000;
+  private static final long MAX_NEAR_PERIOD_MILLIS = 1_000;
+  private static final long MAX_FAR_PERIOD_MILLIS = 6_000;
 
   /** Largest number of other nodes at {@link #MIN_PERIOD_MILLIS}; the period grows with more. */
-  private static final int MAX_NODES_AT_MIN_PERIOD = 24;
+  private static final int MAX_NODES_AT_MIN_PERIOD = 16;
 
   /** Number of periods without a report after which a node is suspect. */
   private static final double SUSPECT_PERIODS = 2;
@@ -23,23 +29,54 @@
   /** Number of periods after which a link is pinged even if reports come in on another link. */
   private static final int OWN_LINK_PERIODS = 2;
 
+  /** How long a ping may be unanswered before its node is suspect. */
+  private static final long SILENT_MILLIS = 1_000;
+
+  /** The same for a node that another one has found silent. */
+  private static final long REPORTED_SILENT_MILLIS = 300;
+
+  /** How long another node's word that a node is silent counts. */
+  private static final long SILENCE_REPORT_MILLIS = 3_000;
+
   /** How long a ping may be unanswered before its link is closed. */
   private static final long LINK_TIMEOUT_MILLIS = 2_500;
 
-  private final IntSupplier otherNodes;
+  private final Collection<Peer> peers;
+  private boolean moving;
+
+  /** Creates a schedule for a collection that changes with the known nodes. */
+  PingSchedule(Collection<Peer> peers) {
+    this.peers = peers;
+  }
 
-  /** Creates a schedule; {@code otherNodes} supplies the current number of other nodes. */
-  PingSchedule(IntSupplier otherNodes) {
-    this.otherNodes = otherNodes;
+  /** Sets whether this node leads a move, which needs recent counts of all nodes. */
+  void leadsMove(boolean leads) {
+    moving = leads;
   }
 
   /** Returns whether a node's reports are recent and it answers pings on the link to it. */
   boolean alive(Peer peer, long nowMillis) {
-    long period = periodMillis();
     return peer.link != null
         && peer.report != null
-        && nowMillis - peer.reportMillis < SUSPECT_PERIODS * period
-        && peer.unansweredMillis(nowMillis) < period;
+        && nowMillis - peer.reportMillis < SUSPECT_PERIODS * periodMillis(peer)
+        && !silent(peer, nowMillis);
+  }
+
+  /** Returns whether a ping of the node has been unanswered for too long. */
+  boolean silent(Peer peer, long nowMillis) {
+    boolean reported = nowMillis - peer.silenceReportedMillis < SILENCE_REPORT_MILLIS;
+    long limitMillis = reported ? REPORTED_SILENT_MILLIS : SILENT_MILLIS;
+    return peer.unansweredMillis(nowMillis) >= Math.min(limitMillis, periodMillis(peer));
+  }
+
+  /**
+   * Returns whether to tell other nodes that a node is silent: not if another one has done so, nor
+   * if so many are that this node's own link is the likely cause.
+   */
+  boolean reportsSilence(Peer silent, long nowMillis) {
+    long silentCount = peers.stream().filter(peer -> silent(peer, nowMillis)).count();
+    return nowMillis - silent.silenceReportedMillis >= SILENCE_REPORT_MILLIS
+        && 2 * silentCount <= peers.size();
   }
 
   /**
@@ -49,7 +86,7 @@
   boolean fresh(Peer peer, long nowMillis) {
     return peer.link != null
         && peer.report != null
-        && nowMillis - peer.reportMillis < FRESH_PERIODS * periodMillis();
+        && nowMillis - peer.reportMillis < FRESH_PERIODS * periodMillis(peer);
   }
 
   /**
@@ -57,21 +94,31 @@
    * case, because the node's own pings arrive on another link.
    */
   boolean due(Peer peer, long nowMillis) {
-    long period = periodMillis();
+    long period =
+        moving ? Math.min(periodMillis(peer), MAX_NEAR_PERIOD_MILLIS) : periodMillis(peer);
     return nowMillis - Math.max(peer.reportMillis, peer.pingedMillis) >= period
         || nowMillis - peer.pingedMillis >= OWN_LINK_PERIODS * period;
   }
 
+  /**
+   * Returns whether to ping a node along with a request: the link to it has not been heard of for
+   * so long that a request sent on it could be lost unnoticed.
+   */
+  boolean dueWithRequest(Peer peer, long nowMillis) {
+    return peer.unansweredMillis(nowMillis) == 0
+        && nowMillis - peer.heardMillis >= MAX_NEAR_PERIOD_MILLIS;
+  }
+
   /** Returns whether the link to a node has timed out and must be closed. */
   boolean timedOut(Peer peer, long nowMillis) {
     return peer.unansweredMillis(nowMillis) > LINK_TIMEOUT_MILLIS;
   }
 
   /** Returns the ping period, which grows with the mesh to bound the ping rate of a node. */
-  private long periodMillis() {
+  private long periodMillis(Peer peer) {
     return Math.clamp(
-        MIN_PERIOD_MILLIS * otherNodes.getAsInt() / MAX_NODES_AT_MIN_PERIOD,
+        MIN_PERIOD_MILLIS * peers.size() / MAX_NODES_AT_MIN_PERIOD,
         MIN_PERIOD_MILLIS,
-        MAX_PERIOD_MILLIS);
+        peer.near ? MAX_NEAR_PERIOD_MILLIS : MAX_FAR_PERIOD_MILLIS);
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -1,5 +1,6 @@
 package io.hemlockbend.proxy.peer;
 
+import io.hemlockbend.core.api.NodeId;
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -82,6 +83,13 @@
    */
   record Ping(long sentMillis, NodeReport report) implements NodeMessage {}
 
+  /**
+   * Tells that a node does not answer the sender, so that the receiver checks its own link to it.
+   *
+   * @param node the node that does not answer
+   */
+  record Silence(NodeId node) implements NodeMessage {}
+
   /**
    * Requests the receiver's configuration and orders if they are newer than the sender's.
    *
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -16,6 +16,7 @@
 import io.hemlockbend.proxy.peer.NodeMessage.Ping;
 import io.hemlockbend.proxy.peer.NodeMessage.Report;
 import io.hemlockbend.proxy.peer.NodeMessage.Run;
+import io.hemlockbend.proxy.peer.NodeMessage.Silence;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -40,6 +41,7 @@
   private static final int BODY_CHUNK = 12;
   private static final int NODES_REQUEST = 13;
   private static final int NODE_LIST = 14;
+  private static final int SILENCE = 15;
 
   private NodeMessageCodec() {}
 
@@ -114,6 +116,7 @@
         packer.packInt(PING).packLong(ping.sentMillis());
         ReportCodec.write(packer, ping.report());
       }
+      case Silence silence -> packer.packInt(SILENCE).packString(silence.node().value());
       case Fetch fetch -> {
         packer.packInt(FETCH).packLong(fetch.configurationVersion());
         packer.packLong(fetch.ordersVersion());
@@ -165,6 +168,7 @@
         yield new Configuration(version, unpacker.readPayload(unpacker.unpackBinaryHeader()));
       }
       case PING -> new Ping(unpacker.unpackLong(), ReportCodec.read(unpacker));
+      case SILENCE -> new Silence(new NodeId(unpacker.unpackString()));
       case FETCH -> new Fetch(unpacker.unpackLong(), unpacker.unpackLong());
       case ORDERS -> new Orders(OrdersCodec.read(unpacker));
       case CRASH_REPORTS -> new CrashReports(CrashReportsCodec.read(unpacker));
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -57,6 +57,7 @@
         new NodeMessage.CrashReports(
             List.of(new Suspicion(new RequestId("f"), List.of(new UpstreamId("i-1")), 600_000))),
         new NodeMessage.Fetch(12, -1),
+        new NodeMessage.Silence(NODE.node()),
         new NodeMessage.Ended(6, new RunEnd.NotRun("full"), LOAD),
         new NodeMessage.Ended(6, new RunEnd.Lost("reset"), LOAD),
         new NodeMessage.Orders(
