--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/entry/EntryService.java
@@ -90,9 +90,10 @@
    */
   CompletableFuture<Answer> serve(IncomingRequest incoming) {
     if (view.standing(incoming.request()) == Standing.QUARANTINED) {
-      return CompletableFuture.completedFuture(refuse(incoming, RoutingRefusal.QUARANTINED));
+      return CompletableFuture.completedFuture(
+          refuse(incoming, RoutingRefusal.QUARANTINED, Progress.START));
     }
-    return attempt(incoming, new Progress(1, 0, Exclusions.NONE, false, false));
+    return attempt(incoming, Progress.START);
   }
 
   /** Removes the statistics of all idle upstreams except those given. */
@@ -105,15 +106,18 @@
       int brokenAttempts,
       Exclusions exclusions,
       boolean mayHaveRun,
-      boolean suspect) {}
+      boolean suspect) {
+    static final Progress START = new Progress(1, 0, Exclusions.NONE, false, false);
+  }
 
   private CompletableFuture<Answer> attempt(IncomingRequest incoming, Progress progress) {
     Optional<RoutingTable> table = view.table();
     if (table.isEmpty()) {
-      return CompletableFuture.completedFuture(refuse(incoming, RoutingRefusal.NOT_READY));
+      return CompletableFuture.completedFuture(
+          refuse(incoming, RoutingRefusal.NOT_READY, progress));
     }
     if (clock.millis() >= incoming.deadlineMillis()) {
-      return CompletableFuture.completedFuture(refuse(incoming, RoutingRefusal.DEADLINE));
+      return CompletableFuture.completedFuture(refuse(incoming, RoutingRefusal.DEADLINE, progress));
     }
     RoutingRequest request =
         new RoutingRequest(
@@ -123,15 +127,16 @@
     return switch (decision) {
       case RoutingDecision.Forward forward -> forward(incoming, forward, progress);
       case RoutingDecision.Refuse refuse ->
-          CompletableFuture.completedFuture(refused(refuse, progress));
+          CompletableFuture.completedFuture(refused(refuse.reason(), progress));
     };
   }
 
-  private static Answer refused(RoutingDecision.Refuse refuse, Progress progress) {
+  /** Returns the refusal; it must not say "not run" after an attempt that may have run. */
+  private static Answer refused(RoutingRefusal reason, Progress progress) {
     if (progress.mayHaveRun()) {
       return new Answer.Failed(new AttemptEnd.Broken(false));
     }
-    return ErrorAnswers.refused(refuse.reason());
+    return ErrorAnswers.refused(reason);
   }
 
   private CompletableFuture<Answer> forward(
@@ -276,9 +281,9 @@
                 RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_FLOOR_PER_SECOND, clock.millis()));
   }
 
-  private Answer refuse(IncomingRequest incoming, RoutingRefusal reason) {
+  private Answer refuse(IncomingRequest incoming, RoutingRefusal reason, Progress progress) {
     log(incoming, new RoutingDecision.Refuse(reason, Optional.empty(), Optional.empty()));
-    return ErrorAnswers.refused(reason);
+    return refused(reason, progress);
   }
 
   private void log(IncomingRequest incoming, RoutingDecision decision) {
