--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/AttemptEndCodec.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/AttemptEndCodec.java
@@ -50,7 +50,11 @@
     };
   }
 
-  /** Decodes the error of another node; an unknown outcome token counts as "may have run". */
+  /**
+   * Decodes the error of another node; an unknown outcome token counts as "may have run".
+   *
+   * @param reason the reason, or null if the error has none
+   */
   static Answer.Failed decode(String outcomeToken, int status, String reason) {
     ReportedOutcome outcome = OUTCOMES.getOrDefault(outcomeToken, ReportedOutcome.MAY_HAVE_RUN);
     return new Answer.Failed(end(outcome, status, reason));
@@ -72,6 +76,9 @@
   }
 
   private static AttemptEnd notRunEnd(String reason) {
+    if (reason == null) {
+      return new AttemptEnd.NotConnected();
+    }
     RefusalReason refusal = REASONS.get(reason);
     if (refusal != null) {
       return new AttemptEnd.Refused(refusal);
