--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/admission/AdmissionService.java
@@ -155,10 +155,17 @@
     listener.crashed(reports);
   }
 
-  /** Returns the number of requests that run on the upstream or wait in its queue. */
-  public int runningAndQueued() {
+  /** Returns the number of requests that run on the upstream. */
+  public int running() {
     synchronized (lock) {
-      return link == null ? 0 : link.controller().inFlight() + link.controller().queued();
+      return link == null ? 0 : link.controller().inFlight();
+    }
+  }
+
+  /** Returns the number of requests that wait for the upstream. */
+  public int queued() {
+    synchronized (lock) {
+      return link == null ? 0 : link.controller().queued();
     }
   }
 
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/metrics/NodeMeters.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/metrics/NodeMeters.java
@@ -29,8 +29,11 @@
     Gauge.builder("hemlockbend.members.alive", control, NodeMeters::alive)
         .description("Nodes that the mesh believes alive")
         .register(registry);
-    Gauge.builder("hemlockbend.admission.running", admission, AdmissionService::runningAndQueued)
-        .description("Requests that run on the upstream or wait for it")
+    Gauge.builder("hemlockbend.admission.running", admission, AdmissionService::running)
+        .description("Requests that run on the upstream")
+        .register(registry);
+    Gauge.builder("hemlockbend.admission.queued", admission, AdmissionService::queued)
+        .description("Requests that wait for the upstream")
         .register(registry);
     Gauge.builder("hemlockbend.admission.limit", admission, AdmissionService::currentLimit)
         .description("Requests that the upstream may run at once now")
