--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -65,7 +65,7 @@
    * @throws PeerException when the message is malformed
    */
   static NodeMessage read(byte[] body) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+    try (MessageUnpacker unpacker = new FrameUnpacker(body)) {
       return readMessage(unpacker);
     } catch (IOException | RuntimeException e) {
       throw new PeerException("malformed message of " + body.length + " bytes", e);
