--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.proxy.peer.NodeInfo;
+import io.hemlockbend.proxy.peer.NodeMessage;
 import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.PeerConnection;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
@@ -97,6 +98,22 @@
     return runs.size();
   }
 
+  /**
+   * Fails the requests in flight that may be repeated, so that they can be answered elsewhere, and
+   * cancels them in case that the node hears again.
+   */
+  void failRepeatable(String reason) {
+    List<SentRun> failed = new ArrayList<>();
+    for (Map.Entry<Long, SentRun> run : List.copyOf(runs.entrySet())) {
+      if (run.getValue().repeatable()) {
+        runs.remove(run.getKey());
+        link.send(new NodeMessage.Cancel(run.getKey()));
+        failed.add(run.getValue());
+      }
+    }
+    failed.forEach(run -> run.linkLost(reason));
+  }
+
   /** Fails all requests in flight; those that were sent completely may have run. */
   void failAll(String reason) {
     List<SentRun> lost = new ArrayList<>(runs.values());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -168,7 +168,7 @@
     PeerConnection link = peer.link;
     byte[] body = request.http().body();
     boolean offered = body.length >= SentRun.OFFERED_BYTES;
-    peer.runStarted(stream, new SentRun(listener, offered ? body : NO_BODY));
+    peer.runStarted(stream, new SentRun(listener, request.idempotent(), offered ? body : NO_BODY));
     link.send(
         offered
             ? new NodeMessage.Run(stream, request.withBody(NO_BODY), body.length)
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
@@ -64,19 +64,21 @@
 
   /** Returns whether a ping of the node has been unanswered for too long. */
   boolean silent(Peer peer, long nowMillis) {
-    boolean reported = nowMillis - peer.silenceReportedMillis < SILENCE_REPORT_MILLIS;
-    long limitMillis = reported ? REPORTED_SILENT_MILLIS : SILENT_MILLIS;
+    long limitMillis = silenceReported(peer, nowMillis) ? REPORTED_SILENT_MILLIS : SILENT_MILLIS;
     return peer.unansweredMillis(nowMillis) >= Math.min(limitMillis, periodMillis(peer));
   }
 
   /**
-   * Returns whether to tell other nodes that a node is silent: not if another one has done so, nor
-   * if so many are that this node's own link is the likely cause.
+   * Returns whether so few nodes are silent that the cause lies with them. Otherwise it is more
+   * likely this node's own link, or this process did not run for a while.
    */
-  boolean reportsSilence(Peer silent, long nowMillis) {
-    long silentCount = peers.stream().filter(peer -> silent(peer, nowMillis)).count();
-    return nowMillis - silent.silenceReportedMillis >= SILENCE_REPORT_MILLIS
-        && 2 * silentCount <= peers.size();
+  boolean silenceIsTheirs(long nowMillis) {
+    return 2 * peers.stream().filter(peer -> silent(peer, nowMillis)).count() <= peers.size();
+  }
+
+  /** Returns whether another node has said lately that a node is silent. */
+  boolean silenceReported(Peer silent, long nowMillis) {
+    return nowMillis - silent.silenceReportedMillis < SILENCE_REPORT_MILLIS;
   }
 
   /**
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/SentRun.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/SentRun.java
@@ -17,6 +17,7 @@
   private static final int CHUNK_BYTES = 16 * 1024;
 
   private final Consumer<RunEnd> listener;
+  private final boolean repeatable;
   private final byte[] offered;
   private int sent;
 
@@ -24,11 +25,13 @@
    * Creates a request that has been sent.
    *
    * @param listener called with the outcome
+   * @param repeatable whether the request may run more than once
    * @param offered the body to be sent as credit is granted; empty if the request was sent with its
    *     body
    */
-  SentRun(Consumer<RunEnd> listener, byte[] offered) {
+  SentRun(Consumer<RunEnd> listener, boolean repeatable, byte[] offered) {
     this.listener = listener;
+    this.repeatable = repeatable;
     this.offered = offered;
   }
 
@@ -43,6 +46,11 @@
     }
   }
 
+  /** Returns whether the request may run more than once. */
+  boolean repeatable() {
+    return repeatable;
+  }
+
   /** Passes the outcome to the listener. */
   void end(RunEnd end) {
     listener.accept(end);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/SilentNodes.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/SilentNodes.java
@@ -26,16 +26,27 @@
     this.sink = sink;
   }
 
-  /** Tells all nodes that one does not answer, once for each silence. */
+  /**
+   * Handles that a node does not answer, once for each silence: requests in flight to it that may
+   * be repeated leave it in time to be answered elsewhere, and the other nodes are told.
+   */
   void check(Peer checked, long nowMillis) {
     if (checked.link == null || checked.silenceTold || !schedule.silent(checked, nowMillis)) {
       return;
     }
     checked.silenceTold = true;
-    if (!schedule.reportsSilence(checked, nowMillis)) {
+    if (!schedule.silenceIsTheirs(nowMillis)) {
       return;
     }
-    sink.emit("node-silent", null, "peer", checked.info.node());
+    sink.emit("node-silent", null, "peer", checked.info.node(), "open", checked.outstanding());
+    boolean known = schedule.silenceReported(checked, nowMillis);
+    checked.failRepeatable("node " + checked.info.node() + " does not answer");
+    if (!known) {
+      tellOthers(checked);
+    }
+  }
+
+  private void tellOthers(Peer checked) {
     NodeMessage message = new NodeMessage.Silence(checked.info.node());
     for (Peer peer : peers.values()) {
       if (peer != checked && peer.link != null) {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PeerMeshTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PeerMeshTest.java
@@ -3,13 +3,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class PeerMeshTest {
   private static final Duration WAIT = Duration.ofSeconds(10);
+  private static final int REQUESTS = 4;
+
+  /** What they earn pays for the retries of {@link #REQUESTS}. */
+  private static final int REQUESTS_THAT_EARN = 60;
 
   private final MeshFixture mesh = new MeshFixture();
 
@@ -46,6 +54,42 @@
     }
   }
 
+  /** The link would be closed only after their deadlines. */
+  @Test
+  void repeatableRequestsLeaveASilentLinkInTime() throws Exception {
+    MeshFixture.Member first = mesh.add("tunis");
+    try (NarrowLink link = new NarrowLink(first.node.mesh().self().address(), 1_000_000)) {
+      MeshFixture.Member second = mesh.addBehind("sfax", first, link.port());
+      awaitSeen(second, first, 2);
+      MeshFixture.Member third = mesh.add("tunis");
+      awaitSeen(second, third, 3);
+      first.announce(false, 0);
+      for (int i = 0; i < REQUESTS_THAT_EARN; i++) {
+        getAsync(second, "earn-" + i).join();
+      }
+      link.silence();
+      List<CompletableFuture<String>> answers =
+          IntStream.range(0, REQUESTS).mapToObj(i -> getAsync(second, "silent-" + i)).toList();
+      await()
+          .atMost(WAIT)
+          .until(() -> second.callOnLoop(() -> second.node.entry().open()) == REQUESTS);
+      third.announce(false, 0);
+      assertThat(answers)
+          .allSatisfy(answer -> assertThat(answer.join()).startsWith("HTTP/1.1 200"));
+    }
+  }
+
+  private static CompletableFuture<String> getAsync(MeshFixture.Member entry, String id) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return MeshFixture.get(entry, "/a/", id);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
+
   @Test
   void nodeThatKnowsOneOtherDiscoversAllFromIt() {
     MeshFixture.Member first = mesh.add("tunis");
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
@@ -87,12 +87,12 @@
   }
 
   @Test
-  void silenceOfMostNodesIsNotReported() {
+  void silenceOfMostNodesIsNotTakenForTheirs() {
     add(10, false);
     peers.get(0).pingSent(START);
-    assertThat(schedule.reportsSilence(peers.get(0), START + 1_000)).isTrue();
+    assertThat(schedule.silenceIsTheirs(START + 1_000)).isTrue();
     peers.subList(0, 6).forEach(peer -> peer.pingSent(START));
-    assertThat(schedule.reportsSilence(peers.get(0), START + 1_000)).isFalse();
+    assertThat(schedule.silenceIsTheirs(START + 1_000)).isFalse();
   }
 
   @Test
