--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/forward/Forwarder.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.retry.AttemptEnd;
 import io.hemlockbend.core.retry.ResponseHeaders;
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -115,13 +116,24 @@
   private void read(
       Call call, Response response, Content.Source source, CompletableFuture<Answer> answer) {
     if (!delimited(call, response)) {
-      answer.completeExceptionally(new UndelimitedAnswerException());
-      source.fail(new UndelimitedAnswerException());
+      reject(new UndelimitedAnswerException(), source, answer);
+      return;
+    }
+    String answeredId = response.getHeaders().get(MeshHeaders.REQUEST_ID);
+    if (answeredId != null && !answeredId.equals(call.request().value())) {
+      reject(new CrossedAnswerException(call.request().value(), answeredId), source, answer);
       return;
     }
     new AnswerReader(response, source, bufferBytes, answer).run();
   }
 
+  /** Fails the request and closes its connection, whose next answer would be off as well. */
+  private static void reject(
+      IOException failure, Content.Source source, CompletableFuture<Answer> answer) {
+    answer.completeExceptionally(failure);
+    source.fail(failure);
+  }
+
   private static boolean delimited(Call call, Response response) {
     HttpFields fields = response.getHeaders();
     return fields.contains(HttpHeader.CONTENT_LENGTH)
