--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -22,6 +22,13 @@
  */
 public final class MoveLeader {
   private static final long TICK_MILLIS = 250;
+
+  /**
+   * How long a node that has started leaves the lead to others: until it has their answers, it is
+   * the first of those that it hears. Three ping periods.
+   */
+  private static final long JOINING_MILLIS = 1_500;
+
   private static final long MIN_DRAIN_MILLIS = 1_000;
   private static final long MAX_DRAIN_MILLIS = 2_500;
 
@@ -31,6 +38,7 @@
   private final ServiceVersions versions;
   private final DurableState durable;
   private final DecisionSink sink;
+  private final long startMillis;
   private final Map<ServiceName, LedMove> ledMoves = new HashMap<>();
   private final Set<Long> savedOrders = new HashSet<>();
   private final Map<ServiceName, Long> orderSeenMillis = new HashMap<>();
@@ -49,6 +57,7 @@
     this.versions = versions;
     this.durable = durable;
     this.sink = sink;
+    this.startMillis = loop.millis();
     loop.every(TICK_MILLIS, this::tick);
   }
 
@@ -79,7 +88,8 @@
   }
 
   private boolean isLeader() {
-    if (!node.storeReachable() || node.leaving()) {
+    boolean joining = loop.millis() - startMillis < JOINING_MILLIS;
+    if (joining || !node.storeReachable() || node.leaving()) {
       return false;
     }
     for (Peer peer : mesh.peers()) {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MoveLeaderTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MoveLeaderTest.java
@@ -5,7 +5,10 @@
 
 import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.proxy.peer.MoveOrder;
+import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.OperatorOrders;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
@@ -58,6 +61,30 @@
     assertThat(first.savedMoves).doesNotContain(order(MoveOrder.State.COMPLETED));
   }
 
+  /** It knows the first node, which leads, but has no answer from it yet. */
+  @Test
+  void nodeThatJoinsDoesNotLeadBeforeItCouldHearOfTheOthers() throws Exception {
+    MeshFixture.Member first = started(MeshFixture.V1);
+    NodeInfo there = first.node.mesh().self();
+    try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      MeshFixture.Member joined =
+          mesh.addKnowing(
+              "tunis",
+              new NodeInfo(
+                  there.node(),
+                  "127.0.0.1",
+                  silent.getLocalPort(),
+                  there.domain(),
+                  there.startedMillis()));
+      joined.runOnLoop(() -> joined.node.updateStoreReachable(true));
+      order(joined);
+      await()
+          .during(Duration.ofMillis(800))
+          .atMost(WAIT)
+          .untilAsserted(() -> assertThat(joined.savedMoves).isEmpty());
+    }
+  }
+
   private MeshFixture.Member started(VersionName version) {
     MeshFixture.Member member = mesh.add("tunis");
     member.announce(version);
