--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Peer.java
@@ -114,10 +114,16 @@
     failed.forEach(run -> run.linkLost(reason));
   }
 
-  /** Fails all requests in flight; those that were sent completely may have run. */
-  void failAll(String reason) {
+  /**
+   * Forgets the link and what came on it, and fails all requests in flight; those that were sent
+   * completely may have run. A node without a link is not silent: no ping to it is outstanding.
+   */
+  void linkLost() {
+    link = null;
+    report = null;
+    pingAnswered();
     List<SentRun> lost = new ArrayList<>(runs.values());
     runs.clear();
-    lost.forEach(run -> run.linkLost(reason));
+    lost.forEach(run -> run.linkLost("link to " + info.node() + " lost"));
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -383,10 +383,8 @@
         return;
       }
       LinkLog.write(sink, "link-lost", peer, connection, cause, loop.millis());
-      peer.link = null;
-      peer.report = null;
       peer.dialedMillis = loop.millis();
-      peer.failAll("link to " + peer.info.node() + " lost");
+      peer.linkLost();
     }
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
@@ -95,6 +95,16 @@
     assertThat(schedule.silenceIsTheirs(START + 1_000)).isFalse();
   }
 
+  /** Else the nodes that are gone for good would make this node's own link look broken. */
+  @Test
+  void nodesWhoseLinksWereLostDoNotCountAsSilent() {
+    add(10, false);
+    peers.forEach(peer -> peer.pingSent(START));
+    peers.subList(0, 8).forEach(Peer::linkLost);
+    assertThat(schedule.silent(peers.get(0), START + 1_000)).isFalse();
+    assertThat(schedule.silenceIsTheirs(START + 1_000)).isTrue();
+  }
+
   @Test
   void requestOnALinkNotHeardOfIsSentWithAPing() {
     add(94, false);
