--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
@@ -6,11 +6,12 @@
  * Decides when to ping other nodes and detects failed ones from overdue reports and answers. A ping
  * carries its sender's report, so the two nodes of a pair ping alternately to save messages.
  *
- * <p>In a large mesh, most of what an idle node costs are pings and their answers. The nodes of
- * other failure domains are therefore pinged less often the more there are, and a failed node is
- * noticed by whichever node pings it first: that one tells the others, and each of them checks its
- * own link at once. With n nodes that each ping n others in a period of n/r seconds, a node gets r
- * pings a second however large the mesh is, so the first of them is late by 1/r seconds at most.
+ * <p>In a large mesh, most bytes that idle nodes send between failure domains are pings and their
+ * answers. The nodes of other failure domains are therefore pinged less often the more there are,
+ * and a failed node is noticed by whichever node pings it first: that one tells the others, and
+ * each of them checks its own link at once. With n nodes that each ping n others in a period of n/r
+ * seconds, a node gets r pings a second however large the mesh is, so the first of them is late by
+ * 1/r seconds at most.
  */
 final class PingSchedule {
   private static final long MIN_PERIOD_MILLIS = 500;
