--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
@@ -22,14 +24,18 @@
   final long born = System.currentTimeMillis();
   final AtomicInteger runs = new AtomicInteger();
   private final Record record;
-  private final int slots;
+  final int slots;
   private final Semaphore free;
   private final ServerSocket server;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   volatile long workMillis = 10;
   volatile boolean leaving;
   volatile long coldUntilMillis;
   volatile boolean failing;
 
+  /** The target of the request that crashes this backend, or null. */
+  volatile String crashedBy;
+
   /** Called with the id of each request when it begins to run, and with this backend. */
   volatile BiConsumer<String, Backend> onRun = (request, backend) -> {};
 
@@ -43,7 +49,9 @@
     this.slots = slots;
     this.free = new Semaphore(slots);
     this.id = "i-" + Integer.toHexString((ip + born).hashCode());
-    server = new ServerSocket(PORT, 512, InetAddress.getByName(ip));
+    server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(InetAddress.getByName(ip), PORT), 512);
     Thread.ofVirtual().start(this::accept);
   }
 
@@ -82,6 +90,16 @@
     }
   }
 
+  /** Ends the process: closes the port and resets all connections. */
+  void crash() throws IOException {
+    record.add("backend " + id + " crashes");
+    server.close();
+    for (Socket socket : open) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
@@ -92,6 +110,7 @@
       try {
         Socket socket = server.accept();
         socket.setTcpNoDelay(true);
+        open.add(socket);
         Thread.ofVirtual().start(() -> serve(socket));
       } catch (IOException e) {
         return;
@@ -107,6 +126,8 @@
       }
     } catch (IOException | InterruptedException e) {
       // The node closed the connection.
+    } finally {
+      open.remove(socket);
     }
   }
 
@@ -141,6 +162,10 @@
     try {
       runs.incrementAndGet();
       onRun.accept(request, this);
+      if (call.target().equals(crashedBy)) {
+        crash();
+        return;
+      }
       Thread.sleep(workMillis);
     } finally {
       free.release();
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -71,6 +71,15 @@
     return index;
   }
 
+  /** Starts a backend anew, with a new id, where one has crashed. */
+  void replace(int index) throws IOException {
+    Backend old = backends.get(index);
+    backends.set(
+        index, new Backend(record, old.ip, old.zone, old.service, old.version, old.slots));
+    sequences.get(index).set(0);
+    record.say("backend " + backends.get(index).id + " starts in the place of " + old.id);
+  }
+
   /** Sets whether a backend sends heartbeats on its own. */
   synchronized void beating(int index, boolean beats) {
     beating.set(index, beats);
@@ -81,10 +90,10 @@
   }
 
   private void beat(int index) {
-    Backend backend = backends.get(index);
     try {
       while (true) {
         if (isBeating(index)) {
+          Backend backend = backends.get(index);
           backend.announce(
               "Heartbeat",
               backend.heartbeat(sequences.get(index).incrementAndGet(), "ready"));
