--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -64,7 +64,7 @@
     beating.add(true);
     Node node =
         new Node(
-            record, folder, "n" + (index + 1), ip, zone, service, store.open(index), zones);
+            record, folder, "sidecar-" + zone + "-" + (index + 1), ip, zone, service, store.open(index), zones);
     nodes.add(node);
     node.start();
     Thread.ofVirtual().start(() -> beat(index));
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -19,6 +19,9 @@
 final class Store implements AutoCloseable {
   private static final long ANSWER_MILLIS = 4;
 
+  /** "at most 500 rows or 1 MB" */
+  private static final int MAX_ROWS = 500;
+
   record Row(String table, String key, String value, long ver, boolean removed) {}
 
   private final Record record;
@@ -71,6 +74,38 @@
     record.say("store: " + table + "/" + key + " removed, version " + version);
   }
 
+  /** Returns whether a row of any table has a key. */
+  synchronized boolean hasKey(String key) {
+    return rows.values().stream().anyMatch(row -> row.key().equals(key));
+  }
+
+  /**
+   * Adds the rows that the nodes of removed machines left: copies of a live node's row with other
+   * names and addresses.
+   */
+  synchronized void registerRemoved(int count, String zone, String liveIp) {
+    Row live = null;
+    for (Row row : rows.values()) {
+      if (row.value().contains("\"" + liveIp + "\"") && row.value().contains("\"port\"")) {
+        live = row;
+      }
+    }
+    if (live == null) {
+      throw new IllegalStateException("no row of a live node");
+    }
+    // The names sort before the live ones and beside that of the machine that was really removed.
+    for (int i = 1; i <= count; i++) {
+      String ip = "127.9." + (i / 200) + "." + (1 + i % 200);
+      write(
+          live.table(),
+          String.format("sidecar-%s-%03d", zone, i),
+          live.value().replace(liveIp, ip).replaceFirst("\"domain\":\"[^\"]*\"", "\"domain\":\"" + zone + "\""),
+          false);
+    }
+    notifyAll();
+    record.say("rows of " + count + " removed machines, like " + live.key() + ": " + live.value());
+  }
+
   /** Returns the text of a row, or null. */
   synchronized String value(String table, String key) {
     Row row = rows.get(table + "\n" + key);
@@ -136,7 +171,9 @@
             found.add(row);
           }
         }
-        return rows(found);
+        int limit = Math.min(MAX_ROWS, Integer.parseInt(query.getOrDefault("limit", "" + MAX_ROWS)));
+        boolean truncated = found.size() > limit;
+        return rows(truncated ? found.subList(0, limit) : found, truncated);
       }
       case "/v1/rows-feed" -> {
         long after = Long.parseLong(query.get("after"));
@@ -195,6 +232,10 @@
   }
 
   private String rows(List<Row> selected) {
+    return rows(selected, false);
+  }
+
+  private String rows(List<Row> selected, boolean truncated) {
     StringBuilder json = new StringBuilder("{\"rows\":[");
     for (Row row : selected) {
       json.append(json.length() > 9 ? "," : "");
@@ -210,7 +251,7 @@
                       .encodeToString(row.value().getBytes(StandardCharsets.UTF_8))
                   + "\"}");
     }
-    json.append("],\"truncated\":false,\"ver\":").append(version);
+    json.append("],\"truncated\":").append(truncated).append(",\"ver\":").append(version);
     return json.append(",\"now-ms\":").append(System.nanoTime() / 1_000_000).append("}").toString();
   }
 
