--- a/review/standins/ColdBackendCase.java
+++ b/review/standins/ColdBackendCase.java
@@ -4,7 +4,8 @@
 
 /**
  * A zone is evacuated and taken back; its backends are cold then. A heartbeat that was sent before
- * arrives late, after the node has learned from a health probe that its backend is cold.
+ * arrives late, after the node has learned from a health probe that its backend is cold, and the next
+ * one is as late.
  */
 final class ColdBackendCase {
   private static final long WARMUP_MILLIS = 3_000;
@@ -78,11 +79,18 @@
     }
     record.say("backend " + backend.id + " is cold for " + WARMUP_MILLIS + " ms");
     mesh.store.remove("op", "evacuate/a");
+    long nextMillis = beatMillis + Deployment.HEARTBEAT_MILLIS;
     if (trouble) {
       Thread.sleep(beatMillis + LATE_MILLIS - record.millis());
       record.say("the late heartbeat arrives: " + backend.announce("Heartbeat", before));
     }
-    Thread.sleep(beatMillis + Deployment.HEARTBEAT_MILLIS - record.millis());
+    Thread.sleep(nextMillis - record.millis());
+    String next = backend.heartbeat(mesh.sequences.get(cold).incrementAndGet(), "ready");
+    record.say("heartbeat " + next + " is sent");
+    if (trouble) {
+      Thread.sleep(nextMillis + LATE_MILLIS - record.millis());
+    }
+    record.say("it arrives: " + backend.announce("Heartbeat", next));
     mesh.beating(cold, true);
     Thread.sleep(WARMUP_MILLIS);
     first.stop();
--- a/review/standins/LeftBackendCase.java
+++ b/review/standins/LeftBackendCase.java
@@ -9,9 +9,13 @@
  */
 final class LeftBackendCase {
   private static final long DRAIN_MILLIS = 2_000;
-  private static final long STORE_REJECTS_MILLIS = 3_000;
+  private static final long MAX_STORE_REJECTS_MILLIS = 9_000;
+
+  /** How long the store still rejects calls once the node listens again. */
+  private static final long REJECTS_AFTER_START_MILLIS = 1_000;
+
   private static final long HEARTBEAT_LATE_MILLIS = 3_500;
-  private static final long SERVES_MILLIS = 11_000;
+  private static final long MEASURED_MILLIS = 3_000;
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -66,7 +70,7 @@
     Thread.sleep(50);
     String late = leaver.heartbeat(mesh.sequences.get(left).incrementAndGet(), "ready");
     long lateSentMillis = record.millis();
-    record.say("heartbeat " + late + " is sent; it arrives " + HEARTBEAT_LATE_MILLIS + " ms late");
+    record.say("heartbeat " + late + " is sent; it arrives late");
     leaver.leaving = true;
     int status = leaver.announce("Deregister", "{\"born\":" + leaver.born + "}");
     long acknowledgedMillis = record.millis();
@@ -79,13 +83,21 @@
     if (trouble) {
       Thread.sleep(300);
       mesh.store.busy(left, true);
+      long rejectsFrom = record.millis();
       mesh.nodes.get(left).kill();
-      long rejectsUntil = record.millis() + STORE_REJECTS_MILLIS;
-      boundMillis[0] = rejectsUntil + Deployment.CONTACT_MILLIS;
       Thread.sleep(500);
       mesh.nodes.get(left).start();
-      Thread.sleep(rejectsUntil - record.millis());
+      while (!mesh.nodes.get(left).listens()) {
+        Thread.sleep(20);
+      }
+      Thread.sleep(REJECTS_AFTER_START_MILLIS);
       mesh.store.busy(left, false);
+      if (record.millis() - rejectsFrom > MAX_STORE_REJECTS_MILLIS) {
+        record.say("the node took too long to start");
+        return 2;
+      }
+      boundMillis[0] = record.millis() + Deployment.CONTACT_MILLIS;
+      Thread.sleep(100);
     }
     Thread.sleep(Math.max(0, lateSentMillis + HEARTBEAT_LATE_MILLIS - record.millis()));
     int lateStatus = leaver.announce("Heartbeat", late);
@@ -93,7 +105,7 @@
     if (lateStatus == 0) {
       return 2;
     }
-    Thread.sleep(acknowledgedMillis + SERVES_MILLIS - record.millis());
+    Thread.sleep(Math.max(0, boundMillis[0] - record.millis()) + MEASURED_MILLIS);
     first.stop();
     second.stop();
     Thread.sleep(300);
--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -120,6 +120,16 @@
     }
   }
 
+  /** Returns whether the node accepts connections. */
+  boolean listens() {
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(ip, READY), 500);
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   void awaitReady(long timeoutMillis) throws InterruptedException {
     long until = record.millis() + timeoutMillis;
     while (!ready()) {
