--- a/review/standins/ColdBackendCase.java
+++ b/review/standins/ColdBackendCase.java
@@ -62,6 +62,10 @@
     first.start(12, 40);
     second.start(4, 40);
     Thread.sleep(3_000);
+    if (backend.runs.get() == 0) {
+      record.say("the backend got no request before the evacuation");
+      return 2;
+    }
     mesh.store.put("op", "evacuate/a", "{}");
     Thread.sleep(6_000);
 
@@ -105,6 +109,6 @@
             + most[0]
             + " requests in a second reached the cold backend, allowed are "
             + BOUND);
-    return broken.get() ? 1 : most[0] == 0 ? 2 : 0;
+    return broken.get() ? 1 : 0;
   }
 }
