--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/ColdRateLimiter.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/ColdRateLimiter.java
@@ -61,6 +61,11 @@
     return nowMillis < coldUntilMillis;
   }
 
+  /** Returns how many milliseconds the upstream stays cold; 0 if it is warm. */
+  public long coldMillis(long nowMillis) {
+    return Math.max(0, coldUntilMillis - nowMillis);
+  }
+
   /** Returns how many requests may be sent now; unbounded if the upstream is warm. */
   public int available(long nowMillis) {
     if (!limited(nowMillis)) {
--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
@@ -58,6 +58,11 @@
     }
   }
 
+  /** Returns the process that reports. */
+  public UpstreamProcess process() {
+    return new UpstreamProcess(id, startedMillis);
+  }
+
   /** Returns this record as that of an upstream that is shutting down. */
   public UpstreamRecord asDraining() {
     return new UpstreamRecord(
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/LocalUpstream.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/LocalUpstream.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.core.api.Endpoint;
 import io.hemlockbend.core.api.EndpointState;
 import io.hemlockbend.core.api.NodeAddress;
+import io.hemlockbend.core.api.StartId;
 import io.hemlockbend.core.api.VersionKey;
 import java.util.Optional;
 
@@ -18,18 +19,25 @@
   private long announcedMillis;
   private boolean nodeLeaving;
 
+  /** The process that has announced that it drains, which is final; null if none has. */
+  private StartId drainingStart;
+
   LocalUpstream(long announcementMillis) {
     this.announcementMillis = announcementMillis;
   }
 
   /** Records an announcement; returns whether it reveals a crash: a new start without a drain. */
   boolean announced(AnnouncementBody body, long nowMillis) {
+    if (body.state() == EndpointState.DRAINING) {
+      drainingStart = body.start();
+    }
+    boolean draining = nodeLeaving || body.start().equals(drainingStart);
     Endpoint next =
         new Endpoint(
             body.upstream(),
             body.start(),
             new VersionKey(body.service(), body.version()),
-            nodeLeaving ? EndpointState.DRAINING : body.state(),
+            draining ? EndpointState.DRAINING : body.state(),
             body.slots());
     boolean crashed =
         endpoint != null
--- a/hemlockbend-node/src/test/java/io/hemlockbend/node/control/LocalUpstreamTest.java
+++ b/hemlockbend-node/src/test/java/io/hemlockbend/node/control/LocalUpstreamTest.java
@@ -21,6 +21,20 @@
     assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.DRAINING);
   }
 
+  /** An announcement that was sent before the upstream began to drain arrives late. */
+  @Test
+  void lateAnnouncementDoesNotEndDrainOfItsProcess() {
+    upstream.announced(body("s1", EndpointState.READY), 0);
+    upstream.announced(body("s1", EndpointState.DRAINING), 500);
+    upstream.announced(body("s1", EndpointState.READY), 1_000);
+    assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.DRAINING);
+    assertThat(upstream.expire(4_000)).isTrue();
+    upstream.announced(body("s1", EndpointState.READY), 4_500);
+    assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.DRAINING);
+    upstream.announced(body("s2", EndpointState.READY), 5_000);
+    assertThat(upstream.endpoint().orElseThrow().state()).isEqualTo(EndpointState.READY);
+  }
+
   @Test
   void newStartWithoutDrainIsACrash() {
     upstream.announced(body("s1", EndpointState.READY), 0);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -1,9 +1,11 @@
 package io.hemlockbend.proxy.upstream;
 
 import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.drain.LeftProcesses;
 import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.core.traffic.ColdRateLimiter;
 import io.hemlockbend.core.traffic.TrafficService;
+import io.hemlockbend.core.traffic.UpstreamProcess;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.core.transfer.PartialMessageBudget;
 import io.hemlockbend.proxy.DecisionSink;
@@ -42,8 +44,16 @@
   private final Runnable changeListener;
   private final Function<UpstreamRecord, CompletableFuture<Void>> saver;
   private final ColdRateLimiter coldRate;
+  private final LeftProcesses left = new LeftProcesses();
   private CompletableFuture<Void> saved = CompletableFuture.completedFuture(null);
   private UpstreamRecord record;
+
+  /** Whether a record stored before this node started may exist and has not been read yet. */
+  private boolean restoring;
+
+  /** Whether the upstream is down only because its announcement may be older than its record. */
+  private boolean unverified;
+
   private UpstreamState state = UpstreamState.UNKNOWN;
   private String healthPath = "/health";
   private int consecutiveLosses;
@@ -99,10 +109,9 @@
         || record != null && !announcement.newerThan(record)) {
       return false;
     }
-    boolean sameProcess = record != null && sameProcess(announcement);
+    boolean sameProcess = record != null && record.process().equals(announcement.process());
     if (!sameProcess) {
       startProcess(announcement);
-      save(announcement);
     }
     if (state == UpstreamState.LEAVING) {
       record = announcement.asDraining();
@@ -112,6 +121,14 @@
     coldRate.coldFor(announcement.coldMillis(), loop.millis());
     if (announcement.draining()) {
       markLeaving("draining");
+    } else if (left.contains(announcement.process())) {
+      markLeaving("deregistered before it announced itself");
+    } else if (!sameProcess) {
+      saveUnlessRestoring();
+      if (restoring) {
+        markDown("stored record not read yet");
+        unverified = true;
+      }
     }
     if (!sameProcess || announcement.draining()) {
       changeListener.run();
@@ -119,26 +136,53 @@
     return true;
   }
 
+  /**
+   * Marks the stored record as unread. Until {@link #endRestore}, an upstream that announces itself
+   * gets work only once a health check passes: the announcement may be older than the record, which
+   * may say that the upstream leaves.
+   */
+  public void beginRestore() {
+    restoring = true;
+  }
+
   /**
    * Restores the record that was stored before this node restarted. The upstream gets work once a
    * health check shows that it is still the same one; never, if it was leaving, although late
    * announcements and health checks may say otherwise.
    */
   public void restore(UpstreamRecord stored) {
-    boolean leaves = stored.draining() && (record == null || sameProcess(stored));
-    if (record != null && !leaves || !stored.address().equals(address)) {
+    if (!stored.address().equals(address)) {
       return;
     }
-    if (record == null) {
+    if (record == null || stored.startedMillis() > record.startedMillis()) {
       startProcess(stored);
       record = stored;
+      markDown("node restarted");
     }
-    if (leaves) {
+    if (!record.process().equals(stored.process())) {
+      markVerified();
+    } else if (stored.draining()) {
       leave("was leaving before the node restarted");
-      changeListener.run();
-    } else {
-      markDown("node restarted");
+    } else if (left.contains(stored.process())) {
+      markLeaving("deregistered before its record was read");
+    }
+    changeListener.run();
+  }
+
+  /**
+   * Ends the restoration: the record was read, or none is stored.
+   *
+   * @param found whether a record is stored, readable or not
+   */
+  public void endRestore(boolean found) {
+    restoring = false;
+    if (record == null) {
+      return;
+    }
+    if (!found) {
+      markVerified();
     }
+    saveUnlessRestoring();
   }
 
   /**
@@ -149,15 +193,23 @@
     return saved;
   }
 
-  private boolean sameProcess(UpstreamRecord other) {
-    return record.id().equals(other.id()) && record.startedMillis() == other.startedMillis();
+  /** Deregisters the current process of the upstream, unless the id is that of another one. */
+  public void deregister(UpstreamId id) {
+    if (record != null && record.id().equals(id)) {
+      deregister(record.process());
+    }
   }
 
   /**
-   * Deregisters the upstream: this process of it gets no more work, whatever it announces later.
+   * Deregisters a process of the upstream: it gets no more work, whatever it announces later, also
+   * if it has not announced itself to this node yet. A process before the current one is ignored.
    */
-  public void deregister(UpstreamId id) {
-    if (record != null && record.id().equals(id) && state != UpstreamState.LEAVING) {
+  public void deregister(UpstreamProcess process) {
+    if (record != null && process.startedMillis() < record.startedMillis()) {
+      return;
+    }
+    left.add(process);
+    if (record != null && record.process().equals(process) && state != UpstreamState.LEAVING) {
       markLeaving("deregistered");
       changeListener.run();
     }
@@ -175,6 +227,7 @@
       return;
     }
     domainWithdrawn = isWithdrawn;
+    unverified = false;
     if (domainWithdrawn) {
       dispatcher.dropAll("domain-withdrawn");
     } else {
@@ -285,6 +338,7 @@
   private void startProcess(UpstreamRecord announcement) {
     dispatcher.reset(announcement);
     state = UpstreamState.UP;
+    unverified = false;
     consecutiveLosses = 0;
     sink.emit(
         "upstream-began",
@@ -301,21 +355,39 @@
 
   private void markLeaving(String reason) {
     leave(reason);
-    record = record.asDraining();
-    save(record);
-  }
-
-  /** Saves a record after the one before it, so that the latest one is what remains. */
-  private void save(UpstreamRecord latest) {
-    saved = saved.handle((done, failure) -> null).thenCompose(done -> saver.apply(latest));
+    save();
   }
 
   private void leave(String reason) {
     state = UpstreamState.LEAVING;
+    record = record.asDraining();
+    left.add(record.process());
     dispatcher.dropAll("upstream-leaving");
     sink.emit("upstream-leaves", null, "upstream", record.id(), "why", reason);
   }
 
+  /** Saves the record after the one before it, so that the latest one is what remains. */
+  private void save() {
+    UpstreamRecord latest = record;
+    saved = saved.handle((done, failure) -> null).thenCompose(done -> saver.apply(latest));
+  }
+
+  /** A record that was not read yet may say that the upstream leaves and must not be replaced. */
+  private void saveUnlessRestoring() {
+    if (!restoring && !record.draining()) {
+      save();
+    }
+  }
+
+  /**
+   * Ends the wait for a health check of a process that cannot have left before the node started.
+   */
+  private void markVerified() {
+    if (state == UpstreamState.DOWN && unverified) {
+      markUp();
+    }
+  }
+
   /** Stops sending requests until the upstream has passed a health check. */
   private void markDown(String reason) {
     if (state != UpstreamState.UP) {
@@ -351,9 +423,15 @@
       return;
     }
     coldRate.coldFor(Math.max(0, health.coldMillis()), loop.millis());
+    markUp();
+  }
+
+  private void markUp() {
     state = UpstreamState.UP;
+    unverified = false;
     consecutiveLosses = 0;
-    sink.emit("upstream-up", null, "upstream", record.id(), "coldMillis", health.coldMillis());
+    long coldMillis = coldRate.coldMillis(loop.millis());
+    sink.emit("upstream-up", null, "upstream", record.id(), "coldMillis", coldMillis);
     changeListener.run();
   }
 
