--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -27,37 +27,25 @@
  * announcements, its health checks and the outcomes of its requests.
  */
 public final class LocalUpstream {
-  private static final long PROBE_BACKOFF_MILLIS = 150;
-  private static final long MAX_PROBE_BACKOFF_MILLIS = 1_000;
-  private static final int LOSSES_UNTIL_DOWN = 3;
-
   /** Incomplete answers may use the heap size divided by this; their buffers grow by doubling. */
   private static final int ANSWER_HEAP_DIVISOR = 8;
 
   private final EventLoop loop;
   private final UpstreamPool pool;
   private final UpstreamDispatcher dispatcher;
-  private final HealthProbe probe;
+  private final UpstreamHealth health;
   private final String address;
   private final DecisionSink sink;
   private final CrashWatch crashes;
   private final Runnable changeListener;
-  private final Function<UpstreamRecord, CompletableFuture<Void>> saver;
+  private final RecordSaver saver;
   private final ColdRateLimiter coldRate;
   private final LeftProcesses left = new LeftProcesses();
-  private CompletableFuture<Void> saved = CompletableFuture.completedFuture(null);
   private UpstreamRecord record;
 
   /** Whether a record stored before this node started may exist and has not been read yet. */
   private boolean restoring;
 
-  /** Whether the upstream is down only because its announcement may be older than its record. */
-  private boolean unverified;
-
-  private UpstreamState state = UpstreamState.UNKNOWN;
-  private String healthPath = "/health";
-  private int consecutiveLosses;
-  private int probeCount;
   private boolean domainWithdrawn;
 
   /**
@@ -86,7 +74,7 @@
     this.sink = sink;
     this.crashes = crashes;
     this.changeListener = changeListener;
-    this.saver = saver;
+    this.saver = new RecordSaver(saver);
     this.address = address.getAddress().getHostAddress() + ":" + address.getPort();
     this.pool =
         new UpstreamPool(
@@ -94,9 +82,15 @@
             address,
             names.requestId(),
             new PartialMessageBudget<>(Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR));
-    this.probe = new HealthProbe(loop, pool, names);
-    this.dispatcher =
-        new UpstreamDispatcher(loop, pool, names, coldRate, crashes, new RunObserver());
+    this.health =
+        new UpstreamHealth(
+            loop,
+            new HealthProbe(loop, pool, names),
+            this.address,
+            coldRate,
+            sink,
+            new HealthOwner());
+    this.dispatcher = new UpstreamDispatcher(loop, pool, names, coldRate, crashes, health);
   }
 
   /**
@@ -113,7 +107,7 @@
     if (!sameProcess) {
       startProcess(announcement);
     }
-    if (state == UpstreamState.LEAVING) {
+    if (health.state() == UpstreamState.LEAVING) {
       record = announcement.asDraining();
       return true;
     }
@@ -126,8 +120,7 @@
     } else if (!sameProcess) {
       saveUnlessRestoring();
       if (restoring) {
-        markDown("stored record not read yet");
-        unverified = true;
+        health.doubtUntilVerified("stored record not read yet");
       }
     }
     if (!sameProcess || announcement.draining()) {
@@ -157,10 +150,10 @@
     if (record == null || stored.startedMillis() > record.startedMillis()) {
       startProcess(stored);
       record = stored;
-      markDown("node restarted");
+      health.doubt("node restarted");
     }
     if (!record.process().equals(stored.process())) {
-      markVerified();
+      health.verify();
     } else if (stored.draining()) {
       leave("was leaving before the node restarted");
     } else if (left.contains(stored.process())) {
@@ -180,7 +173,7 @@
       return;
     }
     if (!found) {
-      markVerified();
+      health.verify();
     }
     saveUnlessRestoring();
   }
@@ -190,7 +183,7 @@
    * ended.
    */
   public CompletableFuture<Void> saved() {
-    return saved;
+    return saver.saved();
   }
 
   /** Deregisters the current process of the upstream, unless the id is that of another one. */
@@ -209,7 +202,9 @@
       return;
     }
     left.add(process);
-    if (record != null && record.process().equals(process) && state != UpstreamState.LEAVING) {
+    if (record != null
+        && record.process().equals(process)
+        && health.state() != UpstreamState.LEAVING) {
       markLeaving("deregistered");
       changeListener.run();
     }
@@ -217,7 +212,7 @@
 
   /** Applies the configuration of the upstream's service. */
   public void configure(TrafficService service) {
-    healthPath = service.healthPath();
+    health.path(service.healthPath());
     coldRate.perSecond(service.coldPerSecond());
   }
 
@@ -227,11 +222,10 @@
       return;
     }
     domainWithdrawn = isWithdrawn;
-    unverified = false;
     if (domainWithdrawn) {
       dispatcher.dropAll("domain-withdrawn");
     } else {
-      markDown("restored");
+      health.doubt("restored");
     }
     changeListener.run();
   }
@@ -243,7 +237,7 @@
 
   /** Returns whether the upstream accepts work. */
   public UpstreamState state() {
-    return state;
+    return health.state();
   }
 
   /** Returns how many requests run on the upstream. */
@@ -253,7 +247,9 @@
 
   /** Returns the load; {@link UpstreamLoad#CLOSED} when the upstream accepts no work. */
   public UpstreamLoad load() {
-    return state == UpstreamState.UP && !domainWithdrawn ? dispatcher.load() : UpstreamLoad.CLOSED;
+    return health.state() == UpstreamState.UP && !domainWithdrawn
+        ? dispatcher.load()
+        : UpstreamLoad.CLOSED;
   }
 
   /** Returns the request counts by route, for the current process of the upstream. */
@@ -276,12 +272,14 @@
     if (domainWithdrawn) {
       return "domain-withdrawn";
     }
-    return state == UpstreamState.UP ? null : "upstream-" + state.name().toLowerCase(Locale.ROOT);
+    return health.state() == UpstreamState.UP
+        ? null
+        : "upstream-" + health.state().name().toLowerCase(Locale.ROOT);
   }
 
   /** Returns the usual service time of a route, in milliseconds; 0 when not known. */
   public double serviceMillis(String route) {
-    return state == UpstreamState.UNKNOWN ? 0 : dispatcher.serviceMillis(route);
+    return health.state() == UpstreamState.UNKNOWN ? 0 : dispatcher.serviceMillis(route);
   }
 
   /**
@@ -294,7 +292,7 @@
   public Runnable run(RunRequest run, Consumer<RunEnd> listener) {
     Consumer<RunEnd> logging =
         end -> {
-          logEnd(run, end);
+          RunEndLog.log(sink, run, end, this::load);
           listener.accept(end);
         };
     String reason = closedReason();
@@ -305,41 +303,9 @@
     return () -> {};
   }
 
-  /** Logs outcomes that are no answers, with the load that explains them. */
-  private void logEnd(RunRequest run, RunEnd end) {
-    String reason =
-        switch (end) {
-          case RunEnd.Answered ignored -> null;
-          case RunEnd.NotRun notRun -> notRun.reason();
-          case RunEnd.Lost lost -> lost.reason();
-        };
-    if (reason != null) {
-      UpstreamLoad now = load();
-      sink.emit(
-          end instanceof RunEnd.Lost ? "run-lost" : "not-run",
-          run.id(),
-          "upstream",
-          run.upstream(),
-          "why",
-          reason,
-          "running",
-          now.running(),
-          "queued",
-          now.queued(),
-          "limit",
-          now.limit(),
-          "remainingMillis",
-          run.remainingMillis(),
-          "targetMillis",
-          run.targetMillis());
-    }
-  }
-
   private void startProcess(UpstreamRecord announcement) {
     dispatcher.reset(announcement);
-    state = UpstreamState.UP;
-    unverified = false;
-    consecutiveLosses = 0;
+    health.begin();
     sink.emit(
         "upstream-began",
         null,
@@ -355,108 +321,43 @@
 
   private void markLeaving(String reason) {
     leave(reason);
-    save();
+    saver.save(record);
   }
 
   private void leave(String reason) {
-    state = UpstreamState.LEAVING;
+    health.leave();
     record = record.asDraining();
     left.add(record.process());
     dispatcher.dropAll("upstream-leaving");
     sink.emit("upstream-leaves", null, "upstream", record.id(), "why", reason);
   }
 
-  /** Saves the record after the one before it, so that the latest one is what remains. */
-  private void save() {
-    UpstreamRecord latest = record;
-    saved = saved.handle((done, failure) -> null).thenCompose(done -> saver.apply(latest));
-  }
-
   /** A record that was not read yet may say that the upstream leaves and must not be replaced. */
   private void saveUnlessRestoring() {
     if (!restoring && !record.draining()) {
-      save();
-    }
-  }
-
-  /**
-   * Ends the wait for a health check of a process that cannot have left before the node started.
-   */
-  private void markVerified() {
-    if (state == UpstreamState.DOWN && unverified) {
-      markUp();
-    }
-  }
-
-  /** Stops sending requests until the upstream has passed a health check. */
-  private void markDown(String reason) {
-    if (state != UpstreamState.UP) {
-      return;
+      saver.save(record);
     }
-    state = UpstreamState.DOWN;
-    probeCount = 0;
-    dispatcher.dropAll("upstream-down");
-    sink.emit("upstream-down", null, "upstream", record.id(), "why", reason);
-    changeListener.run();
-    probeHealth();
-  }
-
-  private void crashed(String reason) {
-    if (state == UpstreamState.UP) {
-      crashes.crashed();
-      markDown(reason);
-    }
-  }
-
-  private void probeHealth() {
-    if (state == UpstreamState.DOWN) {
-      probeCount++;
-      probe.probe(healthPath, address, this::probed);
-      loop.after(
-          Math.min(MAX_PROBE_BACKOFF_MILLIS, PROBE_BACKOFF_MILLIS * probeCount), this::probeHealth);
-    }
-  }
-
-  private void probed(HealthProbe.Health health) {
-    boolean same = health.upstreamId() == null || health.upstreamId().equals(record.id().value());
-    if (state != UpstreamState.DOWN || !health.healthy() || !same) {
-      return;
-    }
-    coldRate.coldFor(Math.max(0, health.coldMillis()), loop.millis());
-    markUp();
   }
 
-  private void markUp() {
-    state = UpstreamState.UP;
-    unverified = false;
-    consecutiveLosses = 0;
-    long coldMillis = coldRate.coldMillis(loop.millis());
-    sink.emit("upstream-up", null, "upstream", record.id(), "coldMillis", coldMillis);
-    changeListener.run();
-  }
-
-  private final class RunObserver implements UpstreamDispatcher.Observer {
+  private final class HealthOwner implements UpstreamHealth.Owner {
     @Override
-    public void answered() {
-      consecutiveLosses = 0;
+    public UpstreamRecord record() {
+      return record;
     }
 
     @Override
-    public void misdirected() {
-      markDown("misdirected");
+    public void wentDown() {
+      dispatcher.dropAll("upstream-down");
     }
 
     @Override
-    public void unreachable(String reason) {
-      crashed(reason);
+    public void crashed() {
+      crashes.crashed();
     }
 
     @Override
-    public void connectionLost(String reason) {
-      consecutiveLosses++;
-      if (consecutiveLosses >= LOSSES_UNTIL_DOWN) {
-        crashed(reason);
-      }
+    public void changed() {
+      changeListener.run();
     }
   }
 }
