--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/ColdRateLimiter.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/ColdRateLimiter.java
@@ -51,11 +51,30 @@
     tokens = Math.min(tokens, BURST);
   }
 
-  /** Sets how long the upstream stays cold from now on; 0 if it is warm. */
+  /**
+   * Sets how long the upstream stays cold from now on, as a new process or a health check states.
+   *
+   * @param coldMillis the remaining cold time; 0 if it is warm
+   */
   public void coldFor(long coldMillis, long nowMillis) {
     coldUntilMillis = nowMillis + coldMillis;
   }
 
+  /**
+   * Applies the cold time of an announcement of the same process. It may arrive seconds late, and
+   * an upstream may become cold again at any moment: it only extends what is known.
+   *
+   * @param coldMillis the remaining cold time when the announcement was sent
+   */
+  public void announcedColdFor(long coldMillis, long nowMillis) {
+    coldUntilMillis = Math.max(coldUntilMillis, nowMillis + coldMillis);
+  }
+
+  /** Returns whether the upstream is cold and the rate that it bears then is not known. */
+  public boolean rateMissing(long nowMillis) {
+    return cold(nowMillis) && perWindow == Double.MAX_VALUE;
+  }
+
   /** Returns whether the upstream is cold. */
   public boolean cold(long nowMillis) {
     return nowMillis < coldUntilMillis;
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/traffic/ColdRateLimiterTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/traffic/ColdRateLimiterTest.java
@@ -81,6 +81,29 @@
     assertThat(rate.available(600)).isZero();
   }
 
+  /** Replays two announcements that were sent while the upstream was still warm and come late. */
+  @Test
+  void announcementsOnlyExtendTheColdTime() {
+    ColdRateLimiter rate = rate(ColdAllowance.NONE);
+    rate.coldFor(3_000, 0);
+    rate.announcedColdFor(0, 400);
+    rate.announcedColdFor(0, 1_900);
+    assertThat(rate.coldMillis(2_000)).isEqualTo(1_000);
+    rate.announcedColdFor(3_000, 2_000);
+    assertThat(rate.coldMillis(2_000)).isEqualTo(3_000);
+  }
+
+  @Test
+  void needsARateOnlyWhileTheUpstreamIsCold() {
+    ColdRateLimiter rate = new ColdRateLimiter(ColdAllowance.NONE);
+    assertThat(rate.rateMissing(0)).isFalse();
+    rate.coldFor(3_000, 0);
+    assertThat(rate.rateMissing(2_999)).isTrue();
+    assertThat(rate.rateMissing(3_000)).isFalse();
+    rate.perSecond(PER_SECOND);
+    assertThat(rate.rateMissing(2_999)).isFalse();
+  }
+
   private static ColdRateLimiter rate(ColdAllowance allowance) {
     ColdRateLimiter rate = new ColdRateLimiter(allowance);
     rate.perSecond(PER_SECOND);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -112,7 +112,7 @@
       return true;
     }
     record = announcement;
-    coldRate.coldFor(announcement.coldMillis(), loop.millis());
+    coldRate.announcedColdFor(announcement.coldMillis(), loop.millis());
     if (announcement.draining()) {
       markLeaving("draining");
     } else if (left.contains(announcement.process())) {
@@ -213,7 +213,11 @@
   /** Applies the configuration of the upstream's service. */
   public void configure(TrafficService service) {
     health.path(service.healthPath());
+    boolean wasMissing = coldRate.rateMissing(loop.millis());
     coldRate.perSecond(service.coldPerSecond());
+    if (wasMissing) {
+      changeListener.run();
+    }
   }
 
   /** Sets whether the failure domain is withdrawn; a restored upstream is checked before use. */
@@ -247,9 +251,7 @@
 
   /** Returns the load; {@link UpstreamLoad#CLOSED} when the upstream accepts no work. */
   public UpstreamLoad load() {
-    return health.state() == UpstreamState.UP && !domainWithdrawn
-        ? dispatcher.load()
-        : UpstreamLoad.CLOSED;
+    return closedReason() == null ? dispatcher.load() : UpstreamLoad.CLOSED;
   }
 
   /** Returns the request counts by route, for the current process of the upstream. */
@@ -272,9 +274,10 @@
     if (domainWithdrawn) {
       return "domain-withdrawn";
     }
-    return health.state() == UpstreamState.UP
-        ? null
-        : "upstream-" + health.state().name().toLowerCase(Locale.ROOT);
+    if (health.state() != UpstreamState.UP) {
+      return "upstream-" + health.state().name().toLowerCase(Locale.ROOT);
+    }
+    return coldRate.rateMissing(loop.millis()) ? "cold-rate-unknown" : null;
   }
 
   /** Returns the usual service time of a route, in milliseconds; 0 when not known. */
@@ -306,6 +309,7 @@
   private void startProcess(UpstreamRecord announcement) {
     dispatcher.reset(announcement);
     health.begin();
+    coldRate.coldFor(announcement.coldMillis(), loop.millis());
     sink.emit(
         "upstream-began",
         null,
