--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/Entry.java
@@ -185,9 +185,14 @@
     boolean fresh = versions.nextIsFresh(call.service());
     List<Candidate> candidates =
         candidates(call, fresh ? VersionGroup.FRESH : VersionGroup.CURRENT);
-    if (candidates.isEmpty() && fresh && versions.permille(call.service()) < PERMILLE) {
-      candidates = candidates(call, VersionGroup.CURRENT);
-    }
+    Placement placed = choose(call, candidates);
+    boolean mayUseCurrent = fresh && versions.permille(call.service()) < PERMILLE;
+    return placed == null && mayUseCurrent
+        ? choose(call, candidates(call, VersionGroup.CURRENT))
+        : placed;
+  }
+
+  private Placement choose(EntryCall call, List<Candidate> candidates) {
     List<PlacedUpstream> choices = new ArrayList<>(candidates.size());
     long nowMillis = loop.millis();
     double leftMillis = call.late() ? call.remainingMillis() : call.targetLeftMillis();
@@ -305,7 +310,8 @@
         || load.limit() <= 0
         || withdrawn.contains(upstream.domain())
         || call.excluded(placed.node())
-        || versions.group(call.service(), upstream.version()) != group) {
+        || versions.group(call.service(), upstream.version()) != group
+        || group == VersionGroup.FRESH && !versions.mayGetShare(upstream)) {
       return;
     }
     boolean sameDomain = upstream.domain().equals(mesh.self().domain());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveEvidence.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveEvidence.java
@@ -5,9 +5,9 @@
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.evidence.Counts;
+import io.hemlockbend.core.evidence.MoveComparison;
 import io.hemlockbend.core.evidence.Stratum;
 import io.hemlockbend.core.evidence.Verdict;
-import io.hemlockbend.core.evidence.VersionComparison;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.peer.RouteCounts;
 import java.util.HashMap;
@@ -27,10 +27,12 @@
   private static final class VersionCounts {
     private Counts old = Counts.NONE;
     private Counts fresh = Counts.NONE;
+    private long oldErrors;
+    private long freshErrors;
   }
 
   private final VersionName to;
-  private final VersionComparison comparison = new VersionComparison();
+  private final MoveComparison comparison = new MoveComparison();
   private final Map<Source, RouteCounts> lastCounts = new HashMap<>();
   private final Map<RouteName, VersionCounts> pending = new TreeMap<>();
 
@@ -43,15 +45,20 @@
     for (RouteCounts now : counts) {
       Source source = new Source(upstream.id(), upstream.startedMillis(), now.route());
       RouteCounts before = lastCounts.put(source, now);
-      Counts added = difference(now, before);
+      boolean restarted = before == null || before.calls() > now.calls();
+      RouteCounts base = restarted ? new RouteCounts(now.route(), 0, 0, 0, 0) : before;
+      Counts added = difference(now, base);
+      long errors = now.errors() - base.errors();
       if (added.calls() <= 0) {
         continue;
       }
       VersionCounts pair = pending.computeIfAbsent(now.route(), route -> new VersionCounts());
       if (upstream.version().equals(to)) {
         pair.fresh = pair.fresh.plus(added);
+        pair.freshErrors += errors;
       } else {
         pair.old = pair.old.plus(added);
+        pair.oldErrors += errors;
       }
     }
   }
@@ -59,15 +66,21 @@
   /** Adds the counts since the last call to the comparison and returns its verdict. */
   Verdict verdict(int permille, long nowMillis) {
     pending.forEach(
-        (route, pair) -> comparison.add(new Stratum(nowMillis, route, ALL, pair.old, pair.fresh)));
+        (route, pair) ->
+            comparison.add(
+                new Stratum(nowMillis, route, ALL, pair.old, pair.fresh),
+                pair.oldErrors,
+                pair.freshErrors));
     pending.clear();
-    return comparison.verdict(permille, nowMillis, nowMillis);
+    return comparison.verdict(permille, nowMillis);
+  }
+
+  /** Returns the calls of the target version so far, for the log. */
+  String calls() {
+    return comparison.calls();
   }
 
   private static Counts difference(RouteCounts now, RouteCounts before) {
-    if (before == null || before.calls() > now.calls()) {
-      return new Counts(now.calls(), now.failures(), 0, now.totalMillis());
-    }
     return new Counts(
         now.calls() - before.calls(),
         now.failures() - before.failures(),
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.evidence.Verdict;
 import io.hemlockbend.core.rollout.MoveRamp;
 import io.hemlockbend.core.traffic.UpstreamRecord;
@@ -10,9 +11,14 @@
 import io.hemlockbend.proxy.peer.MoveShare;
 import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.OperatorOrders;
+import io.hemlockbend.proxy.peer.UpstreamLoad;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -32,6 +38,9 @@
   private static final long MIN_DRAIN_MILLIS = 1_000;
   private static final long MAX_DRAIN_MILLIS = 2_500;
 
+  /** How long one upstream of the target version gets all of its share. */
+  private static final long TURN_MILLIS = 500;
+
   private final EventLoop loop;
   private final PeerMesh mesh;
   private final MeshNode node;
@@ -72,7 +81,7 @@
 
   private void tick() {
     boolean leader = isLeader();
-    mesh.leadsMove(leader && versions.anyMoveRunning());
+    mesh.leadsMoves(leader ? versions.moving() : Set.of());
     if (!leader) {
       ledMoves.clear();
       return;
@@ -116,8 +125,16 @@
     int permille = versions.permille(order.service());
     Verdict verdict = move.evidence.verdict(permille, nowMillis);
     long elapsedMillis = nowMillis - move.startMillis;
-    switch (move.ramp.next(verdict, elapsedMillis, order.durationMillis())) {
-      case MoveRamp.Step.Share share -> applyShare(move, share.permille(), elapsedMillis, verdict);
+    List<UpstreamId> upstreams = upstreamsOf(order);
+    switch (move.ramp.next(verdict, upstreams.size(), elapsedMillis, order.durationMillis())) {
+      case MoveRamp.Step.Share share ->
+          applyShare(
+              move,
+              share.permille(),
+              share.oneUpstream() ? inTurn(upstreams, elapsedMillis) : Optional.empty(),
+              elapsedMillis,
+              verdict);
+      case MoveRamp.Step.Complete ignored -> complete(move, elapsedMillis, verdict);
       case MoveRamp.Step.TakeBack rollback -> {
         sink.emit(
             "move-taken-back",
@@ -126,9 +143,11 @@
             order,
             "why",
             rollback.reason(),
+            "calls",
+            move.evidence.calls(),
             "elapsed",
             elapsedMillis);
-        publish(order, 0, elapsedMillis, MoveOrder.State.ROLLED_BACK);
+        publish(order, 0, Optional.empty(), elapsedMillis, MoveOrder.State.ROLLED_BACK);
         save(move, MoveOrder.State.ROLLED_BACK);
       }
     }
@@ -161,9 +180,16 @@
     }
   }
 
-  private void applyShare(LedMove move, int permille, long elapsedMillis, Verdict verdict) {
+  private void applyShare(
+      LedMove move,
+      int permille,
+      Optional<UpstreamId> onlyUpstream,
+      long elapsedMillis,
+      Verdict verdict) {
     MoveShare known = versions.share(move.order.service());
-    if (known == null || known.permille() != permille) {
+    if (known == null
+        || known.permille() != permille
+        || !known.onlyUpstream().equals(onlyUpstream)) {
       sink.emit(
           "move-share",
           null,
@@ -171,27 +197,78 @@
           move.order,
           "permille",
           permille,
+          "onlyUpstream",
+          onlyUpstream.orElse(null),
           "elapsed",
           elapsedMillis,
+          "calls",
+          move.evidence.calls(),
           "verdict",
           verdict);
-      publish(move.order, permille, elapsedMillis, MoveOrder.State.RUNNING);
+      publish(move.order, permille, onlyUpstream, elapsedMillis, MoveOrder.State.RUNNING);
       move.shareChangedMillis = loop.millis();
     }
+  }
+
+  /** Completes a move at full share once the previous version has ended its requests. */
+  private void complete(LedMove move, long elapsedMillis, Verdict verdict) {
+    applyShare(move, MoveRamp.FULL_SHARE_PERMILLE, Optional.empty(), elapsedMillis, verdict);
     long unchangedMillis = loop.millis() - move.shareChangedMillis;
-    boolean drainable =
-        permille == MoveRamp.FULL_SHARE_PERMILLE && unchangedMillis >= MIN_DRAIN_MILLIS;
-    if (drainable && (oldVersionIdle(move.order) || unchangedMillis >= MAX_DRAIN_MILLIS)) {
+    boolean drained = oldVersionIdle(move.order) || unchangedMillis >= MAX_DRAIN_MILLIS;
+    if (unchangedMillis >= MIN_DRAIN_MILLIS && drained) {
       save(move, MoveOrder.State.COMPLETED);
     }
   }
 
-  private void publish(MoveOrder order, int permille, long elapsedMillis, MoveOrder.State state) {
+  /** Returns the upstreams of a move's target version that accept work, sorted. */
+  private List<UpstreamId> upstreamsOf(MoveOrder order) {
+    List<UpstreamId> found = new ArrayList<>();
+    addIfTarget(found, order, node.upstream().record(), node.upstream().load());
+    for (Peer peer : mesh.peers()) {
+      if (peer.report != null && mesh.alive(peer) && !peer.report.leaving()) {
+        addIfTarget(found, order, peer.report.upstream(), peer.load);
+      }
+    }
+    found.sort(Comparator.comparing(UpstreamId::value));
+    return found;
+  }
+
+  private static void addIfTarget(
+      List<UpstreamId> found, MoveOrder order, UpstreamRecord upstream, UpstreamLoad load) {
+    if (upstream != null
+        && upstream.service().equals(order.service())
+        && upstream.version().equals(order.to())
+        && !upstream.draining()
+        && load.limit() > 0) {
+      found.add(upstream.id());
+    }
+  }
+
+  /** Returns the upstream whose turn it is; a slow or faulty one must not stand for its version. */
+  private static Optional<UpstreamId> inTurn(List<UpstreamId> upstreams, long elapsedMillis) {
+    return upstreams.isEmpty()
+        ? Optional.empty()
+        : Optional.of(upstreams.get((int) (elapsedMillis / TURN_MILLIS % upstreams.size())));
+  }
+
+  private void publish(
+      MoveOrder order,
+      int permille,
+      Optional<UpstreamId> onlyUpstream,
+      long elapsedMillis,
+      MoveOrder.State state) {
     MoveShare known = versions.share(order.service());
     long step = known == null ? 1 : known.step() + 1;
     versions.applyShare(
         new MoveShare(
-            order.service(), order.to(), order.order(), step, permille, elapsedMillis, state));
+            order.service(),
+            order.to(),
+            order.order(),
+            step,
+            permille,
+            onlyUpstream,
+            elapsedMillis,
+            state));
     node.scheduleAnnouncement();
   }
 
@@ -207,7 +284,7 @@
           move.saving = false;
           sink.emit("move-kept", null, "order", move.order, "state", state, "kept", saved);
           if (saved && state == MoveOrder.State.COMPLETED) {
-            publish(move.order, MoveRamp.FULL_SHARE_PERMILLE, 0, state);
+            publish(move.order, MoveRamp.FULL_SHARE_PERMILLE, Optional.empty(), 0, state);
           }
           if (saved) {
             savedOrders.add(move.order.order());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PeerMesh.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.mesh;
 
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.transfer.IntakeSettings;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.loop.EventLoop;
@@ -224,9 +225,9 @@
     }
   }
 
-  /** Sets whether this node leads a move, which needs recent reports of all nodes. */
-  void leadsMove(boolean leads) {
-    schedule.leadsMove(leads);
+  /** Sets the services whose moves this node leads, which needs recent reports. */
+  void leadsMoves(Set<ServiceName> services) {
+    schedule.leadsMoves(services);
   }
 
   private void ping(Peer peer, long nowMillis) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/PingSchedule.java
@@ -1,6 +1,8 @@
 package io.hemlockbend.proxy.mesh;
 
+import io.hemlockbend.core.api.ServiceName;
 import java.util.Collection;
+import java.util.Set;
 
 /**
  * Decides when to ping other nodes and detects failed ones from overdue reports and answers. A ping
@@ -18,6 +20,9 @@
   private static final long MAX_NEAR_PERIOD_MILLIS = 1_000;
   private static final long MAX_FAR_PERIOD_MILLIS = 6_000;
 
+  /** The period for upstreams whose version is being judged: that of the judgement. */
+  private static final long JUDGED_PERIOD_MILLIS = 250;
+
   /** Largest number of other nodes at {@link #MIN_PERIOD_MILLIS}; the period grows with more. */
   private static final int MAX_NODES_AT_MIN_PERIOD = 16;
 
@@ -43,16 +48,19 @@
   private static final long LINK_TIMEOUT_MILLIS = 2_500;
 
   private final Collection<Peer> peers;
-  private boolean moving;
+  private Set<ServiceName> moving = Set.of();
 
   /** Creates a schedule for a collection that changes with the known nodes. */
   PingSchedule(Collection<Peer> peers) {
     this.peers = peers;
   }
 
-  /** Sets whether this node leads a move, which needs recent counts of all nodes. */
-  void leadsMove(boolean leads) {
-    moving = leads;
+  /**
+   * Sets the services whose moves this node leads. That needs recent reports of all nodes, and the
+   * counts of the services' upstreams soon: a bad version is served until they have come.
+   */
+  void leadsMoves(Set<ServiceName> services) {
+    moving = services;
   }
 
   /** Returns whether a node's reports are recent and it answers pings on the link to it. */
@@ -97,8 +105,12 @@
    * case, because the node's own pings arrive on another link.
    */
   boolean due(Peer peer, long nowMillis) {
-    long period =
-        moving ? Math.min(periodMillis(peer), MAX_NEAR_PERIOD_MILLIS) : periodMillis(peer);
+    long period = periodMillis(peer);
+    if (judged(peer)) {
+      period = Math.min(period, JUDGED_PERIOD_MILLIS);
+    } else if (!moving.isEmpty()) {
+      period = Math.min(period, MAX_NEAR_PERIOD_MILLIS);
+    }
     return nowMillis - Math.max(peer.reportMillis, peer.pingedMillis) >= period
         || nowMillis - peer.pingedMillis >= OWN_LINK_PERIODS * period;
   }
@@ -117,6 +129,12 @@
     return peer.unansweredMillis(nowMillis) > LINK_TIMEOUT_MILLIS;
   }
 
+  private boolean judged(Peer peer) {
+    return peer.report != null
+        && peer.report.upstream() != null
+        && moving.contains(peer.report.upstream().service());
+  }
+
   /** Returns the ping period, which grows with the mesh to bound the ping rate of a node. */
   private long periodMillis(Peer peer) {
     return Math.clamp(
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
 import io.hemlockbend.core.placement.VersionGroup;
+import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.peer.MoveOrder;
 import io.hemlockbend.proxy.peer.MoveShare;
 import io.hemlockbend.proxy.peer.OperatorOrders;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Decides which versions of each service may get requests, and what share of them. The target
@@ -122,6 +124,22 @@
     return share == null ? 0 : share.permille();
   }
 
+  /** Returns whether an upstream of the target version is one that gets requests now. */
+  public boolean mayGetShare(UpstreamRecord upstream) {
+    MoveShare share = shares.get(upstream.service());
+    return share == null
+        || share.onlyUpstream().isEmpty()
+        || share.onlyUpstream().get().equals(upstream.id());
+  }
+
+  /** Returns the services under move. */
+  public Set<ServiceName> moving() {
+    return orders.values().stream()
+        .filter(order -> order.state() == MoveOrder.State.RUNNING)
+        .map(MoveOrder::service)
+        .collect(Collectors.toSet());
+  }
+
   private void updateTakenBack(MoveOrder order) {
     VersionKey version = new VersionKey(order.service(), order.to());
     if (order.state() == MoveOrder.State.ROLLED_BACK) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
@@ -1,7 +1,9 @@
 package io.hemlockbend.proxy.peer;
 
 import io.hemlockbend.core.api.ServiceName;
+import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
+import java.util.Optional;
 
 /**
  * The share of a service's traffic that a version gets during a move, as decided by the node that
@@ -12,6 +14,7 @@
  * @param order the number of the operator's order; a greater one is newer
  * @param step the number of the decision on that order; a greater one is newer
  * @param permille the share of the version, in thousandths
+ * @param onlyUpstream the upstream of the version that gets all of the share, if only one does
  * @param elapsedMillis how long the move had run when this was decided
  * @param state the progress of the move
  */
@@ -21,6 +24,7 @@
     long order,
     long step,
     int permille,
+    Optional<UpstreamId> onlyUpstream,
     long elapsedMillis,
     MoveOrder.State state) {
   /** Returns whether this decision replaces another one on the same service. */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -29,13 +30,15 @@
     packer.packArrayHeader(report.routeCounts().size());
     for (RouteCounts counts : report.routeCounts()) {
       packer.packString(counts.route().value()).packLong(counts.calls());
-      packer.packLong(counts.failures()).packDouble(counts.totalMillis());
+      packer.packLong(counts.failures()).packLong(counts.errors());
+      packer.packDouble(counts.totalMillis());
     }
     packer.packArrayHeader(report.moves().size());
     for (MoveShare move : report.moves()) {
       packer.packString(move.service().value()).packString(move.to().value());
       packer.packLong(move.order()).packLong(move.step()).packInt(move.permille());
       packer.packLong(move.elapsedMillis()).packInt(move.state().ordinal());
+      packer.packString(move.onlyUpstream().map(UpstreamId::value).orElse(""));
     }
   }
 
@@ -52,7 +55,9 @@
     for (int i = 0; i < countsSize; i++) {
       RouteName route = new RouteName(unpacker.unpackString());
       long calls = unpacker.unpackLong();
-      counts.add(new RouteCounts(route, calls, unpacker.unpackLong(), unpacker.unpackDouble()));
+      long failures = unpacker.unpackLong();
+      long errors = unpacker.unpackLong();
+      counts.add(new RouteCounts(route, calls, failures, errors, unpacker.unpackDouble()));
     }
     int movesSize = unpacker.unpackArrayHeader();
     List<MoveShare> moves = new ArrayList<>(movesSize);
@@ -64,7 +69,11 @@
       int permille = unpacker.unpackInt();
       long elapsedMillis = unpacker.unpackLong();
       MoveOrder.State state = MoveOrder.State.values()[unpacker.unpackInt()];
-      moves.add(new MoveShare(service, to, order, step, permille, elapsedMillis, state));
+      String only = unpacker.unpackString();
+      Optional<UpstreamId> onlyUpstream =
+          only.isEmpty() ? Optional.empty() : Optional.of(new UpstreamId(only));
+      moves.add(
+          new MoveShare(service, to, order, step, permille, onlyUpstream, elapsedMillis, state));
     }
     return new NodeReport(
         node, version, ordersVersion, leaving, storeReachable, record, load, counts, moves);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RouteCounts.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/RouteCounts.java
@@ -8,6 +8,8 @@
  * @param route the route
  * @param calls how many requests ended
  * @param failures how many of them failed
+ * @param errors how many of the failures were answers of the upstream with a server error
  * @param totalMillis the sum of their service times
  */
-public record RouteCounts(RouteName route, long calls, long failures, double totalMillis) {}
+public record RouteCounts(
+    RouteName route, long calls, long failures, long errors, double totalMillis) {}
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/RouteTally.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/RouteTally.java
@@ -13,18 +13,19 @@
 
   private final Map<RouteName, RouteCounts> byRoute = new HashMap<>();
 
-  void add(RouteName route, boolean failed, double serviceMillis) {
+  void add(RouteName route, boolean failed, boolean error, double serviceMillis) {
     if (byRoute.size() >= MAX_ROUTES && !byRoute.containsKey(route)) {
       return;
     }
     byRoute.merge(
         route,
-        new RouteCounts(route, 1, failed ? 1 : 0, serviceMillis),
+        new RouteCounts(route, 1, failed ? 1 : 0, error ? 1 : 0, serviceMillis),
         (one, other) ->
             new RouteCounts(
                 route,
                 one.calls() + other.calls(),
                 one.failures() + other.failures(),
+                one.errors() + other.errors(),
                 one.totalMillis() + other.totalMillis()));
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
@@ -208,7 +208,7 @@
   private void timedOut(RunningCall call) {
     call.call.cancel();
     crashes.answered(call.admission.id());
-    recordRun(call, true, loop.millis() - call.sentMillis);
+    recordRun(call, true, false, loop.millis() - call.sentMillis);
     release(call, RunOutcome.TIMED_OUT);
     call.end(new RunEnd.Lost("no answer by the deadline"));
   }
@@ -259,8 +259,8 @@
     }
   }
 
-  private void recordRun(RunningCall call, boolean failed, long elapsedMillis) {
-    tally.add(new RouteName(call.run.route()), failed, elapsedMillis);
+  private void recordRun(RunningCall call, boolean failed, boolean error, long elapsedMillis) {
+    tally.add(new RouteName(call.run.route()), failed, error, elapsedMillis);
     failures.record(failed, loop.millis());
     if (!failed) {
       serviceMillis +=
@@ -317,7 +317,7 @@
       if (!failed) {
         crashes.completed(call.admission.id());
       }
-      recordRun(call, failed, elapsedMillis);
+      recordRun(call, failed, failed, elapsedMillis);
       release(call, failed ? RunOutcome.FAILED : RunOutcome.ANSWERED);
       call.end(
           reply.field(names.seal()) != null
@@ -335,7 +335,7 @@
 
     @Override
     public void lost(String reason) {
-      recordRun(call, true, loop.millis() - call.sentMillis);
+      recordRun(call, true, false, loop.millis() - call.sentMillis);
       crashes.connectionBroken(call.admission.id());
       release(call, RunOutcome.BROKEN);
       call.end(new RunEnd.Lost(reason));
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/PingScheduleTest.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.proxy.peer.NodeInfo;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -70,7 +71,7 @@
     add(94, false);
     Peer peer = peers.get(0);
     assertThat(schedule.due(peer, peer.pingedMillis + 1_000)).isFalse();
-    schedule.leadsMove(true);
+    schedule.leadsMoves(Set.of(MeshFixture.SERVICE));
     assertThat(schedule.due(peer, peer.pingedMillis + 1_000)).isTrue();
   }
 
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
@@ -10,6 +10,7 @@
 import io.hemlockbend.proxy.peer.MoveShare;
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +28,8 @@
   @Test
   void versionTakenBackStaysBlockedWhileTrafficMovesToThirdOne() {
     order(1, V2, 1, MoveOrder.State.RUNNING);
-    versions.applyShare(new MoveShare(SERVICE, V2, 1, 5, 0, 3_000, MoveOrder.State.ROLLED_BACK));
+    versions.applyShare(
+        new MoveShare(SERVICE, V2, 1, 5, 0, Optional.empty(), 3_000, MoveOrder.State.ROLLED_BACK));
     order(2, V3, 2, MoveOrder.State.RUNNING);
     assertThat(versions.group(SERVICE, V1)).isEqualTo(VersionGroup.CURRENT);
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -17,6 +17,7 @@
 import io.hemlockbend.proxy.http.HttpRequest;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
 import org.junit.jupiter.api.Test;
@@ -43,8 +44,17 @@
             true,
             record,
             LOAD,
-            List.of(new RouteCounts(new RouteName("r1"), 10, 2, 512.5)),
-            List.of(new MoveShare(QUOTES, V1, 11, 3, 50, 900, MoveOrder.State.RUNNING)));
+            List.of(new RouteCounts(new RouteName("r1"), 10, 2, 1, 512.5)),
+            List.of(
+                new MoveShare(
+                    QUOTES,
+                    V1,
+                    11,
+                    3,
+                    50,
+                    Optional.of(new UpstreamId("i-9")),
+                    900,
+                    MoveOrder.State.RUNNING)));
     return List.of(
         new NodeMessage.Hello(NODE, 85),
         new NodeMessage.NodesRequest(),
