--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/HttpFactory.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/HttpFactory.java
@@ -66,6 +66,8 @@
     client.setFollowRedirects(false);
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setIdleTimeout(POOLED_IDLE_TIMEOUT_MILLIS);
+    // Without a limit, the head of an answer that never ends is kept until the request times out.
+    client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
     client.getContentDecoderFactories().clear();
     return client;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpClientConnection.java
@@ -34,6 +34,9 @@
   /** More interim answers than a server has reason to send to one request. */
   private static final int MAX_DROPPED_ANSWERS = 16;
 
+  /** Bytes of framing for each byte of a body; chunks of a single byte need five. */
+  private static final long MAX_FRAMING_PER_BYTE = 16;
+
   /** Receives the result of a request; exactly one of the methods is called, once. */
   public interface Listener {
     /**
@@ -63,6 +66,8 @@
   private int status;
   private long idleSinceMillis;
   private int dropped;
+  private long parsedBytes;
+  private long bodyBytes;
   private boolean parsing;
   private boolean mismatched;
   private boolean completedInParse;
@@ -103,6 +108,8 @@
     }
     listener = responseListener;
     dropped = 0;
+    parsedBytes = 0;
+    bodyBytes = 0;
     expectedId = request.field(idField);
     parser.setHeadResponse("HEAD".equals(request.method()));
     writeQueue().add(HttpMessages.requestHead(request));
@@ -128,9 +135,12 @@
       }
       int before = bytes.remaining();
       parser.parseNext(bytes);
+      parsedBytes += before - bytes.remaining();
       if (completedInParse) {
         completedInParse = false;
         deliver(bytes.hasRemaining());
+      } else if (framingExceeded()) {
+        end(new IllegalStateException("more framing than answer: " + parsedBytes + " bytes"));
       } else if (bytes.remaining() == before && !parser.isComplete()) {
         break;
       }
@@ -177,6 +187,7 @@
 
   @Override
   public boolean content(ByteBuffer chunk) {
+    bodyBytes += chunk.remaining();
     HttpClientConnection largest = answerBudget.add(this, chunk.remaining());
     while (largest != null) {
       largest.end(
@@ -214,6 +225,12 @@
     end(new IllegalStateException("invalid HTTP response: " + failure.getReason()));
   }
 
+  /** The parser limits heads; lengths and extensions of chunks may go on without an end. */
+  private boolean framingExceeded() {
+    return parsedBytes - bodyBytes
+        > MAX_DROPPED_ANSWERS * MAX_HEAD_BYTES + MAX_FRAMING_PER_BYTE * bodyBytes;
+  }
+
   private void deliver(boolean moreBytes) {
     parsing = false;
     byte[] bytes = body.take();
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/EndlessAnswerTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/EndlessAnswerTest.java
@@ -42,7 +42,17 @@
     BODY_IN_CHUNKS(
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
         "2000\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n"),
-    BODY_UNTIL_CLOSE("HTTP/1.1 200 OK\r\n\r\n", "x".repeat(CHUNK_BYTES));
+    BODY_UNTIL_CLOSE("HTTP/1.1 200 OK\r\n\r\n", "x".repeat(CHUNK_BYTES)),
+    NO_HTTP("", "\0\1x".repeat(CHUNK_BYTES / 3)),
+    BLANK_LINES("", "\r\n".repeat(CHUNK_BYTES / 2)),
+    STATUS_LINE("HTTP/1.1 200 ", "x".repeat(CHUNK_BYTES)),
+    FIELD_LINE("HTTP/1.1 200 OK\r\nX-Filler: ", "x".repeat(CHUNK_BYTES)),
+    CHUNK_EXTENSION(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x".repeat(CHUNK_BYTES)),
+    CHUNK_LENGTH("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0".repeat(CHUNK_BYTES)),
+    TRAILERS(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "X-Filler: " + "x".repeat(CHUNK_BYTES) + "\r\n");
 
     private final String prefix;
     private final String repeated;
