--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/GracefulShutdown.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/GracefulShutdown.java
@@ -47,7 +47,9 @@
 
   void begin() {
     startMillis = loop.millis();
-    node.entry().shutdownAt(startMillis + graceMillis - MARGIN_MILLIS - RESPONSE_DELAY_MILLIS);
+    long lastDeadlineMillis = startMillis + graceMillis - MARGIN_MILLIS - RESPONSE_DELAY_MILLIS;
+    node.entry().shutdownAt(lastDeadlineMillis);
+    node.upstream().shutdownAt(lastDeadlineMillis);
     loop.after(CALLERS_NOTICE_MILLIS, this::check);
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -47,6 +47,7 @@
   private boolean restoring;
 
   private boolean domainWithdrawn;
+  private long shutdownMillis = Long.MAX_VALUE;
 
   /**
    * Creates the upstream of a node; its state is unknown until it announces itself.
@@ -234,6 +235,14 @@
     changeListener.run();
   }
 
+  /**
+   * Sets when the node stops: a request with a later deadline might be cut then without an answer
+   * and is refused from now on, whichever node took it from its caller.
+   */
+  public void shutdownAt(long millis) {
+    shutdownMillis = millis;
+  }
+
   /** Returns the latest record of the upstream, or null when there is none. */
   public UpstreamRecord record() {
     return record;
@@ -299,6 +308,9 @@
           listener.accept(end);
         };
     String reason = closedReason();
+    if (reason == null && loop.millis() + run.remainingMillis() > shutdownMillis) {
+      reason = "stopping";
+    }
     if (reason == null) {
       return dispatcher.run(run, logging);
     }
