--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/CrashTracker.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/quarantine/CrashTracker.java
@@ -21,6 +21,9 @@
   private static final long CRASH_DETECTION_MILLIS = 2_000;
   private static final int MAX_BROKEN_CONNECTIONS = 256;
 
+  /** How long answers sent before a crash may be read after the connections that it broke. */
+  private static final long LATE_ANSWER_MILLIS = 100;
+
   private record BrokenConnection(RequestId request, long atMillis) {}
 
   private final UpstreamId upstream;
@@ -51,6 +54,27 @@
     }
   }
 
+  /** Records that the upstream answered, so no connection broke long before because it crashed. */
+  public void responded(long nowMillis) {
+    brokenConnections.removeIf(
+        connection -> nowMillis - connection.atMillis() > LATE_ANSWER_MILLIS);
+  }
+
+  /**
+   * Records that another process of the upstream runs though this one has not left: it has crashed,
+   * at a time that is not known. Unlike for {@link #crashed}, a request counts as in flight however
+   * long ago its connection broke, unless the upstream has answered any request since then.
+   *
+   * @param known the reports known to this node, including its own earlier ones
+   * @param nowMillis the time
+   * @return a report for each request in flight, to be merged and gossiped
+   */
+  public List<Suspicion> replaced(QuarantineList known, long nowMillis) {
+    TreeSet<RequestId> requests = new TreeSet<>(running.keySet());
+    brokenConnections.forEach(connection -> requests.add(connection.request()));
+    return report(requests, known, nowMillis);
+  }
+
   /**
    * Records a crash of the upstream.
    *
@@ -60,8 +84,13 @@
    *     once for each of its crashes with the request
    */
   public List<Suspicion> crashed(QuarantineList known, long nowMillis) {
+    return report(inFlight(nowMillis), known, nowMillis);
+  }
+
+  private List<Suspicion> report(
+      TreeSet<RequestId> requests, QuarantineList known, long nowMillis) {
     List<Suspicion> reports = new ArrayList<>();
-    for (RequestId request : inFlight(nowMillis)) {
+    for (RequestId request : requests) {
       int crashes = known.crashesAt(request, upstream) + 1;
       reports.add(
           new Suspicion(
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/quarantine/CrashTrackerTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/quarantine/CrashTrackerTest.java
@@ -68,6 +68,20 @@
     assertThat(first.crashed(list, 3_000)).isEmpty();
   }
 
+  /** Nothing else may meet the dead upstream, which is back after some seconds. */
+  @Test
+  void newProcessShowsThatTheOneBeforeCrashedWithItsLastRequests() {
+    first.started(HARMLESS);
+    first.connectionBroken(HARMLESS, 100);
+    first.responded(900);
+    first.started(CRASHING);
+    first.connectionBroken(CRASHING, 1_000);
+    first.responded(1_020);
+    assertThat(first.replaced(list, 6_000))
+        .extracting(Suspicion::request)
+        .containsExactly(CRASHING);
+  }
+
   private void crash(CrashTracker tracker, RequestId... inFlight) {
     for (RequestId request : inFlight) {
       tracker.started(request);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/CrashWatch.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/CrashWatch.java
@@ -77,9 +77,23 @@
     tracker.connectionBroken(fingerprint, clock.millis());
   }
 
+  /** Records that the upstream answered a request. */
+  void responded() {
+    tracker.responded(clock.millis());
+  }
+
   /** Records a crash of the upstream and publishes the requests that were in flight. */
   void crashed() {
-    List<Suspicion> suspects = new ArrayList<>(tracker.crashed(quarantineList, clock.millis()));
+    publish(tracker.crashed(quarantineList, clock.millis()));
+  }
+
+  /** Records that a new process replaces one that has not left, and so must have crashed. */
+  void replaced() {
+    publish(tracker.replaced(quarantineList, clock.millis()));
+  }
+
+  private void publish(List<Suspicion> inFlight) {
+    List<Suspicion> suspects = new ArrayList<>(inFlight);
     suspects.removeIf(suspect -> completed.contains(suspect.request()));
     List<Suspicion> reports = quarantineList.merge(suspects, clock.millis());
     if (!reports.isEmpty()) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -319,6 +319,9 @@
   }
 
   private void startProcess(UpstreamRecord announcement) {
+    if (record != null && health.state() != UpstreamState.LEAVING) {
+      crashes.replaced();
+    }
     dispatcher.reset(announcement);
     health.begin();
     coldRate.coldFor(announcement.coldMillis(), loop.millis());
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/UpstreamDispatcher.java
@@ -297,8 +297,8 @@
 
     @Override
     public void answered(HttpReply reply) {
-      long elapsedMillis = loop.millis() - call.sentMillis;
       crashes.answered(call.admission.id());
+      crashes.responded();
       observer.answered();
       if (reply.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
         release(call, RunOutcome.NOT_SENT);
@@ -313,6 +313,7 @@
         call.end(new RunEnd.NotRun("upstream-full", true));
         return;
       }
+      long elapsedMillis = loop.millis() - call.sentMillis;
       boolean failed = HttpStatus.isServerError(reply.status());
       if (!failed) {
         crashes.completed(call.admission.id());
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LocalUpstreamTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LocalUpstreamTest.java
@@ -5,17 +5,26 @@
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.traffic.ColdAllowance;
 import io.hemlockbend.core.traffic.TrafficService;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.DecisionSink;
+import io.hemlockbend.proxy.RawServer;
 import io.hemlockbend.proxy.http.FieldNames;
+import io.hemlockbend.proxy.http.HttpRequest;
 import io.hemlockbend.proxy.loop.EventLoop;
+import io.hemlockbend.proxy.peer.RunEnd;
+import io.hemlockbend.proxy.peer.RunRequest;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpField;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,16 +36,8 @@
   private final EventLoop loop = new EventLoop();
   private final InetSocketAddress address =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-  private final LocalUpstream upstream =
-      new LocalUpstream(
-          loop,
-          address,
-          NAMES,
-          ColdAllowance.NONE,
-          DecisionSink.NONE,
-          new CrashWatch(loop, reports -> {}),
-          () -> {},
-          record -> CompletableFuture.completedFuture(null));
+  private final List<Suspicion> suspected = new CopyOnWriteArrayList<>();
+  private final LocalUpstream upstream = upstream(address);
 
   @AfterEach
   void stop() {
@@ -62,20 +63,87 @@
     assertThat(callOnLoop(upstream::closedReason)).isNull();
   }
 
+  /** The only request of a service crashes its upstreams and comes again. */
+  @Test
+  void crashIsReportedWhenANewProcessAnnouncesItself() throws Exception {
+    loop.start();
+    try (RawServer crashing = new RawServer(RawServer::readRequest)) {
+      LocalUpstream crashed = upstream(crashing.address());
+      callOnLoop(() -> crashed.applyAnnouncement(announcement(crashing.address(), 3)));
+      CompletableFuture<RunEnd> end = new CompletableFuture<>();
+      loop.execute(() -> crashed.run(request(), end::complete));
+      assertThat(end.join()).isInstanceOf(RunEnd.Lost.class);
+      assertThat(suspected).isEmpty();
+      callOnLoop(() -> crashed.applyAnnouncement(announcement(crashing.address(), 4)));
+      assertThat(suspected).hasSize(1);
+    }
+  }
+
+  @Test
+  void upstreamThatLeftIsReplacedWithoutACrash() throws Exception {
+    loop.start();
+    try (RawServer crashing = new RawServer(RawServer::readRequest)) {
+      LocalUpstream left = upstream(crashing.address());
+      UpstreamRecord before = announcement(crashing.address(), 3);
+      callOnLoop(() -> left.applyAnnouncement(before));
+      CompletableFuture<RunEnd> end = new CompletableFuture<>();
+      loop.execute(() -> left.run(request(), end::complete));
+      assertThat(end.join()).isInstanceOf(RunEnd.Lost.class);
+      loop.execute(() -> left.deregister(before.process()));
+      callOnLoop(() -> left.applyAnnouncement(announcement(crashing.address(), 4)));
+      assertThat(suspected).isEmpty();
+    }
+  }
+
+  private static RunRequest request() {
+    return new RunRequest(
+        "q1",
+        "r1",
+        new VersionKey(SERVICE, new VersionName("v1")),
+        new UpstreamId("i-1"),
+        1,
+        true,
+        1_000,
+        1_000,
+        false,
+        new HttpRequest("GET", "/rare/poison", List.of(new HttpField("Id", "q1")), new byte[0]));
+  }
+
   private UpstreamRecord announcement(long coldMillis) {
+    return announcement(address, 3, coldMillis);
+  }
+
+  private static UpstreamRecord announcement(InetSocketAddress at, long startedMillis) {
+    return announcement(at, startedMillis, 0);
+  }
+
+  private static UpstreamRecord announcement(
+      InetSocketAddress at, long startedMillis, long coldMillis) {
     return new UpstreamRecord(
         new UpstreamId("i-1"),
-        3,
+        startedMillis,
         SERVICE,
         new VersionName("v1"),
         new FailureDomain("tunis"),
-        address.getAddress().getHostAddress() + ":" + address.getPort(),
+        at.getAddress().getHostAddress() + ":" + at.getPort(),
         9,
         false,
         coldMillis,
         1);
   }
 
+  private LocalUpstream upstream(InetSocketAddress at) {
+    return new LocalUpstream(
+        loop,
+        at,
+        NAMES,
+        ColdAllowance.NONE,
+        DecisionSink.NONE,
+        new CrashWatch(loop, suspected::addAll),
+        () -> {},
+        record -> CompletableFuture.completedFuture(null));
+  }
+
   private <T> T callOnLoop(Supplier<T> query) {
     return CompletableFuture.supplyAsync(query, loop::execute).join();
   }
