--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/BodyBuffer.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/BodyBuffer.java
@@ -32,6 +32,11 @@
     return true;
   }
 
+  /** Returns the number of bytes so far. */
+  int length() {
+    return length;
+  }
+
   /** Returns the body and resets the buffer. */
   byte[] take() {
     byte[] body = length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/Exchange.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/Exchange.java
@@ -5,14 +5,17 @@
   private final HttpServerConnection connection;
   private final HttpRequest request;
   private final long receivedMillis;
+  private final long heldBytes;
   private Runnable abandonedListener;
   private HttpReply reply;
   private boolean abandoned;
 
-  Exchange(HttpServerConnection connection, HttpRequest request, long receivedMillis) {
+  Exchange(
+      HttpServerConnection connection, HttpRequest request, long receivedMillis, long heldBytes) {
     this.connection = connection;
     this.request = request;
     this.receivedMillis = receivedMillis;
+    this.heldBytes = heldBytes;
   }
 
   /** Returns the request. */
@@ -43,6 +46,11 @@
     abandonedListener = listener;
   }
 
+  /** Returns the counted bytes of the request's body, which are released with the answer. */
+  long heldBytes() {
+    return heldBytes;
+  }
+
   HttpReply reply() {
     return reply;
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpServerConnection.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/http/HttpServerConnection.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.http;
 
 import io.hemlockbend.core.traffic.CallerLimits;
+import io.hemlockbend.core.transfer.BodyMemory;
 import io.hemlockbend.proxy.loop.EventLoop;
 import io.hemlockbend.proxy.loop.Timer;
 import java.nio.ByteBuffer;
@@ -34,7 +35,11 @@
   private static final ByteBuffer CONTINUE =
       ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
 
+  /** When a caller may send a body again that there was no memory for. */
+  private static final String MEMORY_RETRY_AFTER_SECONDS = "0.3";
+
   private final Supplier<CallerLimits> limits;
+  private final BodyMemory memory;
   private final Consumer<Exchange> handler;
   private final Consumer<HttpServerConnection> endedListener;
   private final BooleanSupplier draining;
@@ -52,12 +57,27 @@
   private boolean closing;
   private boolean refused;
 
+  /** The counted bytes of the body that is being received. */
+  private long heldBytes;
+
+  /** Creates a connection without a limit on the memory for all bodies. */
+  public HttpServerConnection(
+      EndPoint endPoint,
+      EventLoop loop,
+      Supplier<CallerLimits> limits,
+      BooleanSupplier draining,
+      Consumer<Exchange> handler,
+      Consumer<HttpServerConnection> endedListener) {
+    this(endPoint, loop, limits, BodyMemory.unlimited(), draining, handler, endedListener);
+  }
+
   /**
    * Creates a connection.
    *
    * @param endPoint the end point connected to the caller
    * @param loop the event loop
    * @param limits the current limits
+   * @param memory the memory for the bodies of all connections
    * @param draining whether to close the connection after its last pending answer
    * @param handler receives the complete requests
    * @param endedListener called when the connection has ended
@@ -66,11 +86,13 @@
       EndPoint endPoint,
       EventLoop loop,
       Supplier<CallerLimits> limits,
+      BodyMemory memory,
       BooleanSupplier draining,
       Consumer<Exchange> handler,
       Consumer<HttpServerConnection> endedListener) {
     super(endPoint, loop);
     this.limits = limits;
+    this.memory = memory;
     this.draining = draining;
     this.handler = handler;
     this.endedListener = endedListener;
@@ -121,9 +143,12 @@
   @Override
   protected void ended(Throwable cause) {
     stopReceiveTimer();
+    releaseBody();
     endedListener.accept(this);
     while (!unanswered.isEmpty()) {
-      unanswered.poll().abandon();
+      Exchange exchange = unanswered.poll();
+      memory.release(exchange.heldBytes());
+      exchange.abandon();
     }
   }
 
@@ -148,11 +173,14 @@
   public boolean headerComplete() {
     headersMillis = loop().millis();
     stopReceiveTimer();
-    body.reserve(parser.getContentLength(), limits.get().maxBodyBytes());
     if (parser.getContentLength() > limits.get().maxBodyBytes()) {
       refuse(HttpStatus.PAYLOAD_TOO_LARGE_413, "body too large");
       return true;
     }
+    if (!holdBody(parser.getContentLength())) {
+      return true;
+    }
+    body.reserve(parser.getContentLength(), limits.get().maxBodyBytes());
     receiveTimer = loop().after(MAX_BODY_MILLIS, () -> receiveTimedOut("body"));
     if (HttpMessages.value(fields, HttpHeader.EXPECT.asString()) != null) {
       writeQueue().add(CONTINUE.duplicate());
@@ -162,7 +190,12 @@
 
   @Override
   public boolean content(ByteBuffer chunk) {
-    if (!refused && !body.add(chunk, limits.get().maxBodyBytes())) {
+    // A buffer of unknown size is copied to one of twice the size when it is full.
+    long growing = parser.getContentLength() > 0 ? 0 : 2L * (body.length() + chunk.remaining());
+    if (refused || !holdBody(growing)) {
+      return false;
+    }
+    if (!body.add(chunk, limits.get().maxBodyBytes())) {
       refuse(HttpStatus.PAYLOAD_TOO_LARGE_413, "body too large");
     }
     return false;
@@ -182,7 +215,10 @@
       return true;
     }
     HttpRequest request = new HttpRequest(method, target, fields, bytes);
-    Exchange exchange = new Exchange(this, request, headersMillis);
+    memory.release(heldBytes - Math.min(heldBytes, BodyMemory.counted(bytes.length)));
+    heldBytes = Math.min(heldBytes, BodyMemory.counted(bytes.length));
+    Exchange exchange = new Exchange(this, request, headersMillis, heldBytes);
+    heldBytes = 0;
     if (unanswered.size() >= MAX_PIPELINED_REQUESTS) {
       unanswered.add(exchange);
       exchange.respond(HttpReply.text(HttpStatus.SERVICE_UNAVAILABLE_503, "too many requests"));
@@ -218,6 +254,7 @@
 
   private void send(Exchange exchange, boolean close) {
     HttpReply reply = exchange.reply();
+    memory.release(exchange.heldBytes());
     lastActivityMillis = loop().millis();
     writeQueue().add(HttpMessages.replyHead(reply, close));
     if (!"HEAD".equals(exchange.request().method()) && HttpMessages.bodyAllowed(reply.status())) {
@@ -233,15 +270,40 @@
 
   /** Answers an unacceptable request after all earlier ones and closes the connection. */
   private void refuse(int status, String reason) {
+    refuse(HttpReply.text(status, reason));
+  }
+
+  private void refuse(HttpReply reply) {
     if (refused) {
       return;
     }
     refused = true;
     receiving = false;
+    body.take();
+    releaseBody();
     HttpRequest request = new HttpRequest("-", "-", List.of(), new byte[0]);
-    Exchange exchange = new Exchange(this, request, loop().millis());
+    Exchange exchange = new Exchange(this, request, loop().millis(), 0);
     unanswered.add(exchange);
-    exchange.respond(HttpReply.text(status, reason));
+    exchange.respond(reply);
+  }
+
+  /** Reserves memory for the body; refuses the request, which has not run, if there is none. */
+  private boolean holdBody(long neededBytes) {
+    if (memory.grow(heldBytes, neededBytes)) {
+      heldBytes = Math.max(heldBytes, BodyMemory.counted(neededBytes));
+      return true;
+    }
+    refuse(
+        HttpReply.text(
+            HttpStatus.SERVICE_UNAVAILABLE_503,
+            "no memory for the body",
+            new HttpField(HttpHeader.RETRY_AFTER, MEMORY_RETRY_AFTER_SECONDS)));
+    return false;
+  }
+
+  private void releaseBody() {
+    memory.release(heldBytes);
+    heldBytes = 0;
   }
 
   private void receiveTimedOut(String part) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -57,6 +57,8 @@
   private final Map<InetSocketAddress, ConnectionFactory> factoriesByAddress = new HashMap<>();
   private final LoopSelectorManager manager = new LoopSelectorManager();
   private volatile Thread thread;
+  private volatile boolean closed;
+  private volatile Runnable unexpectedEndListener = () -> {};
   private long timerOrder;
 
   /** Creates a loop; {@link #start} runs it. */
@@ -82,6 +84,20 @@
     }
   }
 
+  /**
+   * Sets the task to run if the loop's thread ends though the loop was not closed. Nothing is
+   * served any more then, and nothing else would show it.
+   */
+  public void onUnexpectedEnd(Runnable listener) {
+    unexpectedEndListener = listener;
+  }
+
+  void threadEnded() {
+    if (!closed) {
+      unexpectedEndListener.run();
+    }
+  }
+
   /** Queues a task to run on the loop's thread; may be called from any thread. */
   public void execute(Runnable task) {
     submitted.add(task);
@@ -174,6 +190,7 @@
 
   @Override
   public void close() {
+    closed = true;
     try {
       manager.stop();
     } catch (Exception e) {
@@ -224,9 +241,18 @@
   private static void run(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException | VirtualMachineError e) {
+    } catch (RuntimeException | Error e) {
       // An overflowed stack or heap must cost its task only, as the loop serves all others.
-      LOGGER.error("event loop task failed", e);
+      logFailure(e);
+    }
+  }
+
+  private static void logFailure(Throwable failure) {
+    try {
+      LOGGER.error("event loop task failed", failure);
+    } catch (RuntimeException | Error e) {
+      // Without memory the line may fail too, which must not end the loop either.
+      return;
     }
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/LoopExecutor.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/LoopExecutor.java
@@ -18,7 +18,16 @@
       return;
     }
     started = true;
-    Thread thread = new Thread(task, "event-loop");
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                task.run();
+              } finally {
+                loop.threadEnded();
+              }
+            },
+            "event-loop");
     thread.start();
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.traffic.TrafficConfiguration;
 import io.hemlockbend.core.traffic.TrafficService;
 import io.hemlockbend.core.traffic.UpstreamRecord;
+import io.hemlockbend.core.transfer.BodyMemory;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.http.HttpServerConnection;
 import io.hemlockbend.proxy.loop.EventLoop;
@@ -45,6 +46,7 @@
   private final ServiceVersions versions = new ServiceVersions();
   private final Entry entry;
   private final Set<HttpServerConnection> callers = new HashSet<>();
+  private final BodyMemory bodies = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
   private final MoveLeader moveLeader;
   private final CatchUp catchUp;
   private TrafficConfiguration configuration;
@@ -373,7 +375,7 @@
   private HttpServerConnection acceptCaller(EndPoint endPoint) {
     HttpServerConnection connection =
         new HttpServerConnection(
-            endPoint, loop, this::limits, () -> leaving, entry::handle, callers::remove);
+            endPoint, loop, this::limits, bodies, () -> leaving, entry::handle, callers::remove);
     callers.add(connection);
     return connection;
   }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.EndPoint;
 import org.junit.jupiter.api.Test;
@@ -63,10 +64,41 @@
           () -> {
             throw new StackOverflowError("a task that recurses");
           });
+      loop.execute(
+          () -> {
+            throw new AssertionError("an error that is no error of the virtual machine");
+          });
       assertRuns(loop);
     }
   }
 
+  /** A process without its loop answers nothing and would stay so. */
+  @Test
+  void endOfTheThreadIsReported() throws Exception {
+    CountDownLatch reported = new CountDownLatch(1);
+    try (EventLoop loop = new EventLoop()) {
+      loop.onUnexpectedEnd(reported::countDown);
+      LoopExecutor executor = new LoopExecutor();
+      executor.attach(loop);
+      executor.execute(
+          () -> {
+            throw new OutOfMemoryError("expected by the test");
+          });
+      assertThat(reported.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  @Test
+  void endOfAClosedLoopIsNotReported() throws Exception {
+    CountDownLatch reported = new CountDownLatch(1);
+    EventLoop loop = new EventLoop();
+    loop.onUnexpectedEnd(reported::countDown);
+    loop.start();
+    assertRuns(loop);
+    loop.close();
+    assertThat(reported.await(200, TimeUnit.MILLISECONDS)).isFalse();
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void failureInAConnectionClosesItOnly(boolean error) throws Exception {
