--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveRamp.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/rollout/MoveRamp.java
@@ -33,6 +33,9 @@
   private static final int FULL = 3;
   private static final double[] STEP_START_FRACTIONS = {0, 0.40, 0.53, 0.60};
 
+  /** How long each step lasts at least, also where a leader that comes late begins with it. */
+  private static final double[] MIN_STEP_FRACTIONS = {0, 0.10, 0.05};
+
   /** How much longer a step may last while there are too few calls to judge it. */
   private static final double PATIENCE_FRACTION = 0.03;
 
@@ -70,6 +73,7 @@
 
   private int index;
   private int loadedPermille;
+  private double stepSince;
   private long fullSinceMillis = -1;
   private long doubtSinceMillis = -1;
 
@@ -121,8 +125,11 @@
     doubtSinceMillis = -1;
     if (index < FULL) {
       double patience = judged ? 0 : PATIENCE_FRACTION;
-      if (elapsed >= STEP_START_FRACTIONS[index + 1] + patience) {
+      double held = elapsed - stepSince;
+      if (elapsed >= STEP_START_FRACTIONS[index + 1] + patience
+          && held >= MIN_STEP_FRACTIONS[index]) {
         index++;
+        stepSince = elapsed;
         loadedPermille = index == LOADED ? loadedPermille(upstreams) : loadedPermille;
       }
     }
--- a/hemlockbend-core/src/test/java/io/hemlockbend/core/rollout/MoveRampTest.java
+++ b/hemlockbend-core/src/test/java/io/hemlockbend/core/rollout/MoveRampTest.java
@@ -76,6 +76,20 @@
     }
   }
 
+  /** The leader that took the first step is gone; the time since then is no evidence. */
+  @Test
+  void leaderThatComesLateLoadsOneUpstreamForAsLong() {
+    long loadedMillis = 0;
+    for (long at = DURATION_MILLIS * 6 / 10; at < DURATION_MILLIS; at += 250) {
+      MoveRamp.Step step = ramp.next(CLEAN, UPSTREAMS, at, DURATION_MILLIS);
+      if (share(step) >= 500) {
+        break;
+      }
+      loadedMillis += ((MoveRamp.Step.Share) step).oneUpstream() ? 250 : 0;
+    }
+    assertThat(loadedMillis).isBetween(1_500L, 2_500L);
+  }
+
   /** A completed move can't be taken back. */
   @Test
   void fullShareIsJudgedBeforeTheMoveCompletes() {
