--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/EventLoop.java
@@ -58,7 +58,7 @@
   private final LoopSelectorManager manager = new LoopSelectorManager();
   private volatile Thread thread;
   private volatile boolean closed;
-  private volatile Runnable unexpectedEndListener = () -> {};
+  private volatile Consumer<Throwable> unexpectedEndListener = cause -> {};
   private long timerOrder;
 
   /** Creates a loop; {@link #start} runs it. */
@@ -85,16 +85,16 @@
   }
 
   /**
-   * Sets the task to run if the loop's thread ends though the loop was not closed. Nothing is
-   * served any more then, and nothing else would show it.
+   * Sets what is called if the loop's thread ends though the loop was not closed, with the cause or
+   * null. Nothing is served any more then, and nothing else would show it.
    */
-  public void onUnexpectedEnd(Runnable listener) {
+  public void onUnexpectedEnd(Consumer<Throwable> listener) {
     unexpectedEndListener = listener;
   }
 
-  void threadEnded() {
+  void threadEnded(Throwable cause) {
     if (!closed) {
-      unexpectedEndListener.run();
+      unexpectedEndListener.accept(cause);
     }
   }
 
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/LoopExecutor.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/loop/LoopExecutor.java
@@ -23,8 +23,9 @@
             () -> {
               try {
                 task.run();
-              } finally {
-                loop.threadEnded();
+                loop.threadEnded(null);
+              } catch (RuntimeException | Error e) {
+                loop.threadEnded(e);
               }
             },
             "event-loop");
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/loop/EventLoopTest.java
@@ -77,7 +77,7 @@
   void endOfTheThreadIsReported() throws Exception {
     CountDownLatch reported = new CountDownLatch(1);
     try (EventLoop loop = new EventLoop()) {
-      loop.onUnexpectedEnd(reported::countDown);
+      loop.onUnexpectedEnd(cause -> reported.countDown());
       LoopExecutor executor = new LoopExecutor();
       executor.attach(loop);
       executor.execute(
@@ -92,7 +92,7 @@
   void endOfAClosedLoopIsNotReported() throws Exception {
     CountDownLatch reported = new CountDownLatch(1);
     EventLoop loop = new EventLoop();
-    loop.onUnexpectedEnd(reported::countDown);
+    loop.onUnexpectedEnd(cause -> reported.countDown());
     loop.start();
     assertRuns(loop);
     loop.close();
