--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LocalUpstreamTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/upstream/LocalUpstreamTest.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.ServiceName;
@@ -18,11 +19,17 @@
 import io.hemlockbend.proxy.loop.EventLoop;
 import io.hemlockbend.proxy.peer.RunEnd;
 import io.hemlockbend.proxy.peer.RunRequest;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpField;
 import org.junit.jupiter.api.AfterEach;
@@ -63,6 +70,35 @@
     assertThat(callOnLoop(upstream::closedReason)).isNull();
   }
 
+  /** The check is answered after the failure domain was restored, with what was true before. */
+  @Test
+  void healthCheckSentBeforeTheLastDoubtDoesNotCount() throws Exception {
+    loop.start();
+    AtomicInteger checks = new AtomicInteger();
+    try (RawServer health = new RawServer(socket -> answerChecks(socket, checks))) {
+      LocalUpstream checked = upstream(health.address());
+      callOnLoop(() -> checked.applyAnnouncement(announcement(health.address(), 3)));
+      for (int restored = 0; restored < 2; restored++) {
+        loop.execute(() -> checked.updateDomainWithdrawn(true));
+        loop.execute(() -> checked.updateDomainWithdrawn(false));
+      }
+      await()
+          .atMost(Duration.ofSeconds(10))
+          .until(() -> callOnLoop(checked::state) == UpstreamState.UP);
+      assertThat(callOnLoop(checked::closedReason)).isEqualTo("cold-rate-unknown");
+    }
+  }
+
+  private static void answerChecks(Socket socket, AtomicInteger checks) throws IOException {
+    while (RawServer.readRequest(socket) != null) {
+      boolean first = checks.incrementAndGet() == 1;
+      LockSupport.parkNanos(first ? TimeUnit.MILLISECONDS.toNanos(400) : 0);
+      RawServer.write(
+          socket,
+          "HTTP/1.1 200 OK\r\nCold: " + (first ? 0 : 60_000) + "\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
   /** The only request of a service crashes its upstreams and comes again. */
   @Test
   void crashIsReportedWhenANewProcessAnnouncesItself() throws Exception {
