Log and measure the store's era, the position in its feed and the source of documents

New metrics: store_era, store_position, store_silent_millis and orders_version. No decision depends on the era yet.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -36,6 +36,12 @@
 public final class MeshNode implements MeshOwner {
   private static final long CHECK_MILLIS = 200;
 
+  /** Where a document came from. */
+  private enum Source {
+    STORE,
+    PEER
+  }
+
   private final EventLoop loop;
   private final MeshSettings settings;
   private final Function<byte[], TrafficConfiguration> decoder;
@@ -193,12 +199,12 @@
    * @param bytes the document, as the operator wrote it
    */
   public void updateConfiguration(byte[] bytes) {
-    if (applyConfiguration(bytes)) {
+    if (applyConfiguration(bytes, Source.STORE)) {
       scheduleAnnouncement();
     }
   }
 
-  private boolean applyConfiguration(byte[] bytes) {
+  private boolean applyConfiguration(byte[] bytes, Source source) {
     TrafficConfiguration decoded;
     try {
       decoded = decoder.apply(bytes);
@@ -218,7 +224,14 @@
       upstream.configure(service);
     }
     sink.emit(
-        "configuration", null, "version", decoded.version(), "routes", decoded.routes().size());
+        "configuration",
+        null,
+        "version",
+        decoded.version(),
+        "routes",
+        decoded.routes().size(),
+        "source",
+        source);
     return true;
   }
 
@@ -227,12 +240,12 @@
    * are not newer than the current ones are ignored.
    */
   public void updateOrders(OperatorOrders updated) {
-    if (applyOrders(updated)) {
+    if (applyOrders(updated, Source.STORE)) {
       scheduleAnnouncement();
     }
   }
 
-  private boolean applyOrders(OperatorOrders updated) {
+  private boolean applyOrders(OperatorOrders updated, Source source) {
     if (updated.version() <= orders.version()) {
       return false;
     }
@@ -246,6 +259,8 @@
         null,
         "version",
         updated.version(),
+        "source",
+        source,
         "withdrawn",
         updated.withdrawn(),
         "moves",
@@ -333,7 +348,7 @@
   public void documentReceived(NodeMessage received) {
     switch (received) {
       case NodeMessage.Configuration message -> applyCompressed(message);
-      case NodeMessage.Orders message -> applyOrders(message.orders());
+      case NodeMessage.Orders message -> applyOrders(message.orders(), Source.PEER);
       default -> throw new IllegalArgumentException("not a document message: " + received);
     }
   }
@@ -346,7 +361,7 @@
       sink.emit("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
       return;
     }
-    applyConfiguration(bytes);
+    applyConfiguration(bytes, Source.PEER);
   }
 
   /** Returns whether requests or responses are in flight at this node. */
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
@@ -45,7 +45,11 @@
     counter("placements", "requests placed on an upstream", NodeSnapshot::placements);
     counter("upstream_connections", "connections opened to it", NodeSnapshot::connections);
     counter("log_lines_dropped", "log lines that found the queue full", NodeSnapshot::linesDropped);
-    counter("store_calls", "calls of the platform's store", NodeSnapshot::storeCalls);
+    counter("store_calls", "calls of the platform's store", page -> page.store().calls());
+    gauge("store_era", "how often the store was restored", page -> page.store().era());
+    gauge("store_position", "the version followed", page -> page.store().position());
+    gauge("store_silent_millis", "since its last response", page -> page.store().silentMillis());
+    gauge("orders_version", "the operator's orders in force", NodeSnapshot::orders);
     counter(
         "loop_late_millis",
         "lateness of the loop's timers",
@@ -118,11 +122,11 @@
    *
    * @param node the node
    * @param lagMonitor measures the lateness of its event loop
-   * @param storeCalls how many calls of the store were started
+   * @param store what it knows of the platform's store
    * @param linesDropped how many log lines were dropped
    */
   public static NodeSnapshot snapshot(
-      MeshNode node, LoopLagMonitor lagMonitor, long storeCalls, long linesDropped) {
+      MeshNode node, LoopLagMonitor lagMonitor, StoreProgress store, long linesDropped) {
     EntryCounters counters = node.entry().counters();
     return new NodeSnapshot(
         Map.copyOf(counters.byStatus()),
@@ -137,7 +141,8 @@
         node.load().limit(),
         node.configuration() == null ? -1 : node.configuration().version(),
         node.mesh().aliveCount(),
-        storeCalls,
+        node.orders().version(),
+        store,
         linesDropped,
         ProcessUsage.of(lagMonitor, node.mesh()));
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/NodeSnapshot.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/NodeSnapshot.java
@@ -17,7 +17,8 @@
  * @param limit the concurrency limit of the upstream
  * @param configuration the version of the current configuration; -1 if there is none
  * @param peersAlive other nodes that answer
- * @param storeCalls calls of the platform's store
+ * @param orders the version of the operator's orders; -1 if there are none
+ * @param store what the node knows of the platform's store
  * @param linesDropped log lines that were dropped
  * @param usage the resource usage of the process and its links
  */
@@ -34,13 +35,29 @@
     int limit,
     long configuration,
     int peersAlive,
-    long storeCalls,
+    long orders,
+    StoreProgress store,
     long linesDropped,
     ProcessUsage usage) {
   /** The snapshot before the first scrape. */
   static final NodeSnapshot EMPTY =
       new NodeSnapshot(
-          Map.of(), Map.of(), new long[0], 0, 0, 0, 0, 0, 0, 0, -1, 0, 0, 0, ProcessUsage.EMPTY);
+          Map.of(),
+          Map.of(),
+          new long[0],
+          0,
+          0,
+          0,
+          0,
+          0,
+          0,
+          0,
+          -1,
+          0,
+          -1,
+          StoreProgress.NONE,
+          0,
+          ProcessUsage.EMPTY);
 
   /** Returns how many requests ended within the upper bound of a bucket. */
   double cumulativeCount(int bucket) {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/metrics/MetricsPageTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/metrics/MetricsPageTest.java
@@ -25,6 +25,16 @@
         .contains("hemlockbend_large_body_millis_total 4200.0");
   }
 
+  @Test
+  void showsHowFarTheStoreWasFollowed() {
+    assertThat(page.render(snapshot(Map.of(200, 1L), new long[11])))
+        .contains("hemlockbend_store_calls_total 5.0")
+        .contains("hemlockbend_store_era 2.0")
+        .contains("hemlockbend_store_position 4713.0")
+        .contains("hemlockbend_store_silent_millis 350.0")
+        .contains("hemlockbend_orders_version 4711.0");
+  }
+
   @Test
   void addsStatusesOfLaterSnapshots() {
     page.render(snapshot(Map.of(200, 1L), new long[11]));
@@ -47,7 +57,8 @@
         9,
         7,
         13,
-        5,
+        4_711,
+        new StoreProgress(5, 2, 4_713, 350),
         0,
         new ProcessUsage(250, 40_000_000, 1_500_000, 3, 840_000, 4_200));
   }
