--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -11,12 +11,10 @@
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.http.HttpServerConnection;
 import io.hemlockbend.proxy.loop.EventLoop;
-import io.hemlockbend.proxy.peer.Compression;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.NodeMessage;
 import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.OperatorOrders;
-import io.hemlockbend.proxy.peer.PeerException;
 import io.hemlockbend.proxy.peer.UpstreamLoad;
 import io.hemlockbend.proxy.upstream.CrashWatch;
 import io.hemlockbend.proxy.upstream.LocalUpstream;
@@ -36,15 +34,9 @@
 public final class MeshNode implements MeshOwner {
   private static final long CHECK_MILLIS = 200;
 
-  /** Where a document came from. */
-  private enum Source {
-    STORE,
-    PEER
-  }
-
   private final EventLoop loop;
   private final MeshSettings settings;
-  private final Function<byte[], TrafficConfiguration> decoder;
+  private final NodeDocuments documents;
   private final DecisionSink sink;
   private final CrashWatch crashes;
   private final LocalUpstream upstream;
@@ -55,10 +47,6 @@
   private final BodyMemory bodies = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
   private final MoveLeader moveLeader;
   private final CatchUp catchUp;
-  private TrafficConfiguration configuration;
-  private byte[] document;
-  private NodeMessage.Configuration compressedDocument;
-  private OperatorOrders orders = OperatorOrders.NONE;
   private boolean peersLoaded;
   private boolean storeReachable;
   private boolean leaving;
@@ -81,7 +69,7 @@
       DecisionSink sink) {
     this.loop = loop;
     this.settings = settings;
-    this.decoder = decoder;
+    this.documents = new NodeDocuments(decoder, sink);
     this.sink = sink;
     this.crashes = new CrashWatch(loop, this::broadcastCrashes);
     this.upstream =
@@ -134,17 +122,17 @@
 
   /** Returns the current configuration, or null before the first one. */
   public TrafficConfiguration configuration() {
-    return configuration;
+    return documents.configuration();
   }
 
   /** Returns the current orders. */
   public OperatorOrders orders() {
-    return orders;
+    return documents.orders();
   }
 
   /** Returns whether callers should send requests to this node. */
   public boolean ready() {
-    return configuration != null && peersLoaded && !leaving;
+    return configuration() != null && peersLoaded && !leaving;
   }
 
   /** Returns whether the node is shutting down. */
@@ -199,40 +187,19 @@
    * @param bytes the document, as the operator wrote it
    */
   public void updateConfiguration(byte[] bytes) {
-    if (applyConfiguration(bytes, Source.STORE)) {
+    if (documents.apply(bytes, NodeDocuments.Source.STORE)) {
+      putConfigurationInForce();
       scheduleAnnouncement();
     }
   }
 
-  private boolean applyConfiguration(byte[] bytes, Source source) {
-    TrafficConfiguration decoded;
-    try {
-      decoded = decoder.apply(bytes);
-    } catch (RuntimeException e) {
-      sink.emit("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
-      return false;
-    }
-    if (configuration != null && decoded.version() <= configuration.version()) {
-      return false;
-    }
-    configuration = decoded;
-    document = bytes;
-    compressedDocument = null;
-    entry.updateConfiguration(decoded);
-    TrafficService service = decoded.services().get(settings.service());
+  private void putConfigurationInForce() {
+    TrafficConfiguration configuration = documents.configuration();
+    entry.updateConfiguration(configuration);
+    TrafficService service = configuration.services().get(settings.service());
     if (service != null) {
       upstream.configure(service);
     }
-    sink.emit(
-        "configuration",
-        null,
-        "version",
-        decoded.version(),
-        "routes",
-        decoded.routes().size(),
-        "source",
-        source);
-    return true;
   }
 
   /**
@@ -240,32 +207,18 @@
    * are not newer than the current ones are ignored.
    */
   public void updateOrders(OperatorOrders updated) {
-    if (applyOrders(updated, Source.STORE)) {
+    if (documents.apply(updated, NodeDocuments.Source.STORE)) {
+      putOrdersInForce();
       scheduleAnnouncement();
     }
   }
 
-  private boolean applyOrders(OperatorOrders updated, Source source) {
-    if (updated.version() <= orders.version()) {
-      return false;
-    }
-    orders = updated;
-    versions.updateOrders(updated);
-    entry.updateWithdrawn(updated.withdrawn());
-    upstream.updateDomainWithdrawn(updated.withdrawn().contains(settings.self().domain()));
-    moveLeader.updateOrders(updated);
-    sink.emit(
-        "orders",
-        null,
-        "version",
-        updated.version(),
-        "source",
-        source,
-        "withdrawn",
-        updated.withdrawn(),
-        "moves",
-        updated.moves());
-    return true;
+  private void putOrdersInForce() {
+    OperatorOrders orders = documents.orders();
+    versions.updateOrders(orders);
+    entry.updateWithdrawn(orders.withdrawn());
+    upstream.updateDomainWithdrawn(orders.withdrawn().contains(settings.self().domain()));
+    moveLeader.updateOrders(orders);
   }
 
   /**
@@ -288,8 +241,8 @@
   public NodeReport report() {
     return new NodeReport(
         settings.self().node(),
-        configuration == null ? -1 : configuration.version(),
-        orders.version(),
+        documents.configurationVersion(),
+        documents.orders().version(),
         leaving,
         storeReachable,
         upstream.state() == UpstreamState.UNKNOWN ? null : upstream.record(),
@@ -330,40 +283,26 @@
 
   @Override
   public List<NodeMessage> documents(NodeMessage.Fetch fetch) {
-    List<NodeMessage> all = new ArrayList<>();
-    if (configurationVersion() > fetch.configurationVersion()) {
-      if (compressedDocument == null) {
-        compressedDocument =
-            new NodeMessage.Configuration(configuration.version(), Compression.compress(document));
-      }
-      all.add(compressedDocument);
-    }
-    if (orders.version() > fetch.ordersVersion()) {
-      all.add(new NodeMessage.Orders(orders));
-    }
-    return all;
+    return documents.newerThan(fetch);
   }
 
   @Override
   public void documentReceived(NodeMessage received) {
     switch (received) {
-      case NodeMessage.Configuration message -> applyCompressed(message);
-      case NodeMessage.Orders message -> applyOrders(message.orders(), Source.PEER);
+      case NodeMessage.Configuration message -> {
+        if (documents.apply(message)) {
+          putConfigurationInForce();
+        }
+      }
+      case NodeMessage.Orders message -> {
+        if (documents.apply(message.orders(), NodeDocuments.Source.PEER)) {
+          putOrdersInForce();
+        }
+      }
       default -> throw new IllegalArgumentException("not a document message: " + received);
     }
   }
 
-  private void applyCompressed(NodeMessage.Configuration message) {
-    byte[] bytes;
-    try {
-      bytes = Compression.decompress(message.compressed());
-    } catch (PeerException e) {
-      sink.emit("configuration-rejected", null, "why", String.valueOf(e.getMessage()));
-      return;
-    }
-    applyConfiguration(bytes, Source.PEER);
-  }
-
   /** Returns whether requests or responses are in flight at this node. */
   boolean busy() {
     return entry.open() > 0
@@ -405,11 +344,11 @@
   }
 
   private CallerLimits limits() {
-    return configuration == null ? CallerLimits.DEFAULT : configuration.limits();
+    return configuration() == null ? CallerLimits.DEFAULT : configuration().limits();
   }
 
   /** Returns the version of the current configuration; -1 without one. */
   long configurationVersion() {
-    return configuration == null ? -1 : configuration.version();
+    return documents.configurationVersion();
   }
 }
