Order the operator's orders by the store's era, then by its version

After the store was restored, withdrawals and moves that the operator ordered were not in force: a node ignored orders whose number lay below the one it knew, and a node that the store turned away did not ask its peers, since it knew greater numbers. In turn such a node's orders, or a late message, would have outranked the new ones once numbers had grown.

The restored store may show an older state until the operator has written again. An older copy of a move does not replace the one that followed it.

Messages between nodes have new fields: restart all nodes when upgrading.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/CatchUp.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/CatchUp.java
@@ -71,12 +71,17 @@
   }
 
   private boolean ahead(NodeReport report) {
-    return report.configurationVersion() > node.configurationVersion()
-        || report.ordersVersion() > node.orders().version();
+    NodeDocuments own = node.inForce();
+    return report.configurationVersion() > own.configurationVersion()
+        || report.ordersVersion().newerThan(own.orders().version())
+        || own.lacksOrdersOf(report);
   }
 
   private void fetch(NodeId from) {
+    NodeDocuments own = node.inForce();
     mesh.fetchFrom(
-        from, new NodeMessage.Fetch(node.configurationVersion(), node.orders().version()));
+        from,
+        new NodeMessage.Fetch(
+            own.configurationVersion(), own.orders().version(), own.carriedOrders()));
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
@@ -15,6 +15,14 @@
    */
   void saveMove(MoveOrder move, Consumer<Boolean> done);
 
+  /**
+   * Called when another node has read the store in a later era than this one: a call that waits for
+   * changes may have been lost with the era before.
+   *
+   * @param era the era
+   */
+  void restoreReported(long era);
+
   /**
    * Saves the first announcement of an upstream process beside this node, so that a restarted node
    * need not wait for the next one, and later that it leaves, so that a restarted node does not use
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -38,6 +38,7 @@
   private final MeshSettings settings;
   private final NodeDocuments documents;
   private final DecisionSink sink;
+  private final DurableState durable;
   private final CrashWatch crashes;
   private final LocalUpstream upstream;
   private final PeerMesh mesh;
@@ -70,6 +71,7 @@
     this.loop = loop;
     this.settings = settings;
     this.documents = new NodeDocuments(decoder, sink);
+    this.durable = durable;
     this.sink = sink;
     this.crashes = new CrashWatch(loop, this::broadcastCrashes);
     this.upstream =
@@ -102,7 +104,15 @@
   public void listen() {
     loop.listen(settings.self().address(), mesh::accept);
     loop.listen(settings.callers(), this::acceptCaller);
-    loop.every(CHECK_MILLIS, catchUp::check);
+    loop.every(CHECK_MILLIS, this::check);
+  }
+
+  private void check() {
+    catchUp.check();
+    if (documents.expireCarried(loop.millis())) {
+      putOrdersInForce();
+      scheduleAnnouncement();
+    }
   }
 
   @Override
@@ -207,7 +217,7 @@
    * are not newer than the current ones are ignored.
    */
   public void updateOrders(OperatorOrders updated) {
-    if (documents.apply(updated, NodeDocuments.Source.STORE)) {
+    if (documents.apply(updated, NodeDocuments.Source.STORE, loop.millis())) {
       putOrdersInForce();
       scheduleAnnouncement();
     }
@@ -243,6 +253,7 @@
         settings.self().node(),
         documents.configurationVersion(),
         documents.orders().version(),
+        documents.carriedOrders(),
         leaving,
         storeReachable,
         upstream.state() == UpstreamState.UNKNOWN ? null : upstream.record(),
@@ -261,6 +272,10 @@
     if (report.upstream() != null) {
       versions.versionSeen(report.upstream().service(), report.upstream().version());
     }
+    long era = report.ordersVersion().era();
+    if (era > documents.orders().version().era()) {
+      durable.restoreReported(era);
+    }
     report.moves().forEach(versions::applyShare);
     catchUp.reported(from, report);
   }
@@ -283,7 +298,7 @@
 
   @Override
   public List<NodeMessage> documents(NodeMessage.Fetch fetch) {
-    return documents.newerThan(fetch);
+    return documents.lackedBy(fetch, loop.millis());
   }
 
   @Override
@@ -295,7 +310,7 @@
         }
       }
       case NodeMessage.Orders message -> {
-        if (documents.apply(message.orders(), NodeDocuments.Source.PEER)) {
+        if (documents.apply(message, loop.millis())) {
           putOrdersInForce();
         }
       }
@@ -347,8 +362,8 @@
     return configuration() == null ? CallerLimits.DEFAULT : configuration().limits();
   }
 
-  /** Returns the version of the current configuration; -1 without one. */
-  long configurationVersion() {
-    return documents.configurationVersion();
+  /** Returns the configuration and orders in force. */
+  NodeDocuments inForce() {
+    return documents;
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.evidence.Verdict;
 import io.hemlockbend.core.rollout.MoveRamp;
 import io.hemlockbend.core.traffic.UpstreamRecord;
@@ -49,9 +50,9 @@
   private final DecisionSink sink;
   private final long startMillis;
   private final Map<ServiceName, LedMove> ledMoves = new HashMap<>();
-  private final Set<Long> savedOrders = new HashSet<>();
+  private final Set<StoreVersion> savedOrders = new HashSet<>();
   private final Map<ServiceName, Long> orderSeenMillis = new HashMap<>();
-  private final Map<ServiceName, Long> lastOrder = new HashMap<>();
+  private final Map<ServiceName, StoreVersion> lastOrder = new HashMap<>();
 
   MoveLeader(
       EventLoop loop,
@@ -72,8 +73,8 @@
 
   void updateOrders(OperatorOrders updated) {
     for (MoveOrder order : updated.moves()) {
-      Long known = lastOrder.put(order.service(), order.order());
-      if (known == null || known != order.order()) {
+      StoreVersion known = lastOrder.put(order.service(), order.order());
+      if (!order.order().equals(known)) {
         orderSeenMillis.put(order.service(), loop.millis());
       }
     }
@@ -112,7 +113,7 @@
 
   private void lead(MoveOrder order) {
     LedMove move = ledMoves.get(order.service());
-    if (move == null || move.order.order() != order.order()) {
+    if (move == null || !move.order.order().equals(order.order())) {
       move = begin(order);
       ledMoves.put(order.service(), move);
     }
@@ -299,7 +300,7 @@
       return;
     }
     LedMove move = ledMoves.get(order.service());
-    if (move == null || move.order.order() != order.order()) {
+    if (move == null || !move.order.order().equals(order.order())) {
       move = new LedMove(order, loop.millis());
       ledMoves.put(order.service(), move);
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
@@ -3,7 +3,9 @@
 import io.hemlockbend.core.traffic.TrafficConfiguration;
 import io.hemlockbend.proxy.DecisionSink;
 import io.hemlockbend.proxy.peer.Compression;
+import io.hemlockbend.proxy.peer.MoveOrder;
 import io.hemlockbend.proxy.peer.NodeMessage;
+import io.hemlockbend.proxy.peer.NodeReport;
 import io.hemlockbend.proxy.peer.OperatorOrders;
 import io.hemlockbend.proxy.peer.PeerException;
 import java.util.ArrayList;
@@ -23,7 +25,12 @@
   private TrafficConfiguration configuration;
   private byte[] document;
   private NodeMessage.Configuration compressedDocument;
-  private OperatorOrders orders = OperatorOrders.NONE;
+  private final CarriedOrders carried = new CarriedOrders();
+  private OperatorOrders read = OperatorOrders.NONE;
+  private OperatorOrders inForce = OperatorOrders.NONE;
+
+  /** The era whose lack of orders this node has filled itself, or has stopped to fill. */
+  private long filledEra = -1;
 
   /**
    * Creates a node's documents, of which there are none yet.
@@ -48,7 +55,22 @@
 
   /** Returns the orders in force. */
   OperatorOrders orders() {
-    return orders;
+    return inForce;
+  }
+
+  /** Returns how many orders in force the restored store lacks. */
+  int carriedOrders() {
+    return carried.size();
+  }
+
+  /**
+   * Returns whether another node knows orders that the restored store lacks and that this node
+   * cannot know, since it has started after the restore.
+   */
+  boolean lacksOrdersOf(NodeReport report) {
+    return report.ordersVersion().equals(read.version())
+        && report.carriedOrders() > carried.size()
+        && filledEra < read.version().era();
   }
 
   /** Puts a configuration in force if it is valid and newer; returns whether it did. */
@@ -91,27 +113,75 @@
   }
 
   /** Puts orders in force if they are newer; returns whether it did. */
-  boolean apply(OperatorOrders updated, Source source) {
-    if (updated.version() <= orders.version()) {
+  boolean apply(OperatorOrders updated, Source source, long nowMillis) {
+    if (!updated.version().newerThan(read.version())) {
+      return false;
+    }
+    long era = updated.version().era();
+    if (!read.equals(OperatorOrders.NONE) && era > read.version().era()) {
+      carried.begin(inForce, nowMillis);
+      filledEra = era;
+    } else {
+      recordReplaced(updated);
+    }
+    read = updated;
+    putInForce(source);
+    return true;
+  }
+
+  /** As {@link #apply(OperatorOrders, Source, long)}, for the orders of another node. */
+  boolean apply(NodeMessage.Orders message, long nowMillis) {
+    boolean applied = apply(message.read(), Source.PEER, nowMillis);
+    boolean adopts =
+        message.read().version().equals(read.version())
+            && filledEra < read.version().era()
+            && message.carriedMillis() > 0;
+    if (adopts) {
+      carried.adopt(message.carried(), message.carriedMillis(), nowMillis);
+      putInForce(Source.PEER);
+    }
+    return applied || adopts;
+  }
+
+  /** Drops orders that the restored store has not shown again; returns whether there were any. */
+  boolean expireCarried(long nowMillis) {
+    if (!carried.expire(nowMillis)) {
       return false;
     }
-    orders = updated;
+    filledEra = read.version().era();
+    putInForce(Source.STORE);
+    return true;
+  }
+
+  private void recordReplaced(OperatorOrders updated) {
+    for (MoveOrder before : read.moves()) {
+      boolean same = updated.moves().stream().anyMatch(move -> move.order().equals(before.order()));
+      if (!same) {
+        carried.replaced(before);
+      }
+    }
+  }
+
+  private void putInForce(Source source) {
+    carried.settle(read);
+    inForce = carried.over(read);
     sink.emit(
         "orders",
         null,
         "version",
-        updated.version(),
+        inForce.version(),
         "source",
         source,
+        "carried",
+        carried.size(),
         "withdrawn",
-        updated.withdrawn(),
+        inForce.withdrawn(),
         "moves",
-        updated.moves());
-    return true;
+        inForce.moves());
   }
 
-  /** Returns the documents that are newer than those of a node that asks for them. */
-  List<NodeMessage> newerThan(NodeMessage.Fetch fetch) {
+  /** Returns the documents that a node lacks that asks for them. */
+  List<NodeMessage> lackedBy(NodeMessage.Fetch fetch, long nowMillis) {
     List<NodeMessage> all = new ArrayList<>();
     if (configurationVersion() > fetch.configurationVersion()) {
       if (compressedDocument == null) {
@@ -120,8 +190,11 @@
       }
       all.add(compressedDocument);
     }
-    if (orders.version() > fetch.ordersVersion()) {
-      all.add(new NodeMessage.Orders(orders));
+    boolean carriesMore =
+        read.version().equals(fetch.ordersVersion()) && carried.size() > fetch.carriedOrders();
+    if (read.version().newerThan(fetch.ordersVersion()) || carriesMore) {
+      all.add(
+          new NodeMessage.Orders(read, carried.lackedBy(read), carried.remainingMillis(nowMillis)));
     }
     return all;
   }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -150,12 +150,12 @@
   }
 
   private static boolean appliesTo(MoveShare share, MoveOrder order) {
-    return order != null && order.order() == share.order() && order.to().equals(share.to());
+    return order != null && order.order().equals(share.order()) && order.to().equals(share.to());
   }
 
   /** Returns an order in its most advanced known state. */
   private static MoveOrder mostAdvanced(MoveOrder updated, MoveOrder known) {
-    boolean same = known != null && known.order() == updated.order();
+    boolean same = known != null && known.order().equals(updated.order());
     return same && known.state().compareTo(updated.state()) > 0 ? known : updated;
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/metrics/MetricsPage.java
@@ -141,7 +141,7 @@
         node.load().limit(),
         node.configuration() == null ? -1 : node.configuration().version(),
         node.mesh().aliveCount(),
-        node.orders().version(),
+        node.orders().version().number(),
         store,
         linesDropped,
         ProcessUsage.of(lagMonitor, node.mesh()));
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveOrder.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveOrder.java
@@ -2,18 +2,19 @@
 
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 
 /**
  * The operator's order to move a service's traffic to a version.
  *
  * @param service the service
  * @param to the version to move to
- * @param order the number of the order; a greater one is newer
+ * @param order the version of the store that wrote the order; a greater one is newer
  * @param durationMillis how long the move may take
  * @param state the progress of the move
  */
 public record MoveOrder(
-    ServiceName service, VersionName to, long order, long durationMillis, State state) {
+    ServiceName service, VersionName to, StoreVersion order, long durationMillis, State state) {
   /** The progress of a move. */
   public enum State {
     /** Traffic is being shifted. */
@@ -24,6 +25,13 @@
     ROLLED_BACK
   }
 
+  /** Returns whether another order asks for the same, whenever it was written. */
+  public boolean sameContent(MoveOrder other) {
+    return service.equals(other.service)
+        && to.equals(other.to)
+        && durationMillis == other.durationMillis;
+  }
+
   /** Returns the same order in another state. */
   public MoveOrder withState(State other) {
     return new MoveOrder(service, to, order, durationMillis, other);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
@@ -3,6 +3,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import java.util.Optional;
 
 /**
@@ -11,7 +12,7 @@
  *
  * @param service the service
  * @param to the version
- * @param order the number of the operator's order; a greater one is newer
+ * @param order the version of the store that wrote the order; a greater one is newer
  * @param step the number of the decision on that order; a greater one is newer
  * @param permille the share of the version, in thousandths
  * @param onlyUpstream the upstream of the version that gets all of the share, if only one does
@@ -21,7 +22,7 @@
 public record MoveShare(
     ServiceName service,
     VersionName to,
-    long order,
+    StoreVersion order,
     long step,
     int permille,
     Optional<UpstreamId> onlyUpstream,
@@ -29,6 +30,6 @@
     MoveOrder.State state) {
   /** Returns whether this decision replaces another one on the same service. */
   public boolean newerThan(MoveShare other) {
-    return order != other.order ? order > other.order : step > other.step;
+    return order.equals(other.order) ? step > other.step : order.newerThan(other.order);
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessage.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.peer;
 
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -94,9 +95,11 @@
    * Requests the receiver's configuration and orders if they are newer than the sender's.
    *
    * @param configurationVersion the configuration version in force at the sender; -1 without one
-   * @param ordersVersion the version of the orders known there; -1 without any
+   * @param ordersVersion the version of the orders known there
+   * @param carriedOrders the number of orders known there that the restored store lacks
    */
-  record Fetch(long configurationVersion, long ordersVersion) implements NodeMessage {}
+  record Fetch(long configurationVersion, StoreVersion ordersVersion, int carriedOrders)
+      implements NodeMessage {}
 
   /**
    * A complete configuration, as written by the operator.
@@ -109,9 +112,12 @@
   /**
    * The operator's orders.
    *
-   * @param orders the orders
+   * @param read the orders as read from the store
+   * @param carried orders from before the store was restored that it lacks
+   * @param carriedMillis how long these are still carried
    */
-  record Orders(OperatorOrders orders) implements NodeMessage {}
+  record Orders(OperatorOrders read, OperatorOrders carried, long carriedMillis)
+      implements NodeMessage {}
 
   /**
    * Requests that were in flight when upstreams crashed.
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeMessageCodec.java
@@ -2,6 +2,7 @@
 
 import io.hemlockbend.core.api.FailureDomain;
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.proxy.peer.NodeMessage.BodyChunk;
 import io.hemlockbend.proxy.peer.NodeMessage.BodyCredit;
 import io.hemlockbend.proxy.peer.NodeMessage.Cancel;
@@ -119,11 +120,12 @@
       case Silence silence -> packer.packInt(SILENCE).packString(silence.node().value());
       case Fetch fetch -> {
         packer.packInt(FETCH).packLong(fetch.configurationVersion());
-        packer.packLong(fetch.ordersVersion());
+        OrdersCodec.writeVersion(packer, fetch.ordersVersion());
+        packer.packInt(fetch.carriedOrders());
       }
       case Orders orders -> {
         packer.packInt(ORDERS);
-        OrdersCodec.write(packer, orders.orders());
+        OrdersCodec.writeMessage(packer, orders);
       }
       case CrashReports crashes -> {
         packer.packInt(CRASH_REPORTS);
@@ -169,8 +171,12 @@
       }
       case PING -> new Ping(unpacker.unpackLong(), ReportCodec.read(unpacker));
       case SILENCE -> new Silence(new NodeId(unpacker.unpackString()));
-      case FETCH -> new Fetch(unpacker.unpackLong(), unpacker.unpackLong());
-      case ORDERS -> new Orders(OrdersCodec.read(unpacker));
+      case FETCH -> {
+        long configurationVersion = unpacker.unpackLong();
+        StoreVersion ordersVersion = OrdersCodec.readVersion(unpacker);
+        yield new Fetch(configurationVersion, ordersVersion, unpacker.unpackInt());
+      }
+      case ORDERS -> OrdersCodec.readMessage(unpacker);
       case CRASH_REPORTS -> new CrashReports(CrashReportsCodec.read(unpacker));
       default -> throw new PeerException("unknown message type " + type, null);
     };
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeReport.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/NodeReport.java
@@ -1,6 +1,7 @@
 package io.hemlockbend.proxy.peer;
 
 import io.hemlockbend.core.api.NodeId;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import java.util.List;
 
@@ -10,7 +11,8 @@
  * @param node the node that reports; not the one dialed when the address now belongs to another
  * @param configurationVersion the version of the configuration in force there; -1 when there is
  *     none
- * @param ordersVersion the version of the operator's orders known there; -1 when there are none
+ * @param ordersVersion the version of the operator's orders known there
+ * @param carriedOrders the number of orders known there that the restored store lacks
  * @param leaving whether the node is shutting down
  * @param storeReachable whether it reaches the platform's store
  * @param upstream the record of its upstream, or null when it has none
@@ -21,7 +23,8 @@
 public record NodeReport(
     NodeId node,
     long configurationVersion,
-    long ordersVersion,
+    StoreVersion ordersVersion,
+    int carriedOrders,
     boolean leaving,
     boolean storeReachable,
     UpstreamRecord upstream,
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/OrdersCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/OrdersCodec.java
@@ -4,6 +4,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,8 +17,20 @@
 final class OrdersCodec {
   private OrdersCodec() {}
 
-  static void write(MessageBufferPacker packer, OperatorOrders orders) throws IOException {
-    packer.packLong(orders.version());
+  static void writeMessage(MessageBufferPacker packer, NodeMessage.Orders message)
+      throws IOException {
+    write(packer, message.read());
+    write(packer, message.carried());
+    packer.packLong(message.carriedMillis());
+  }
+
+  static NodeMessage.Orders readMessage(MessageUnpacker unpacker) throws IOException {
+    OperatorOrders read = read(unpacker);
+    return new NodeMessage.Orders(read, read(unpacker), unpacker.unpackLong());
+  }
+
+  private static void write(MessageBufferPacker packer, OperatorOrders orders) throws IOException {
+    writeVersion(packer, orders.version());
     packer.packArrayHeader(orders.withdrawn().size());
     for (FailureDomain domain : orders.withdrawn()) {
       packer.packString(domain.value());
@@ -25,7 +38,8 @@
     packer.packArrayHeader(orders.moves().size());
     for (MoveOrder move : orders.moves()) {
       packer.packString(move.service().value()).packString(move.to().value());
-      packer.packLong(move.order()).packLong(move.durationMillis());
+      writeVersion(packer, move.order());
+      packer.packLong(move.durationMillis());
       packer.packInt(move.state().ordinal());
     }
     packer.packArrayHeader(orders.takenBack().size());
@@ -34,8 +48,16 @@
     }
   }
 
-  static OperatorOrders read(MessageUnpacker unpacker) throws IOException {
-    long version = unpacker.unpackLong();
+  static void writeVersion(MessageBufferPacker packer, StoreVersion version) throws IOException {
+    packer.packLong(version.era()).packLong(version.number());
+  }
+
+  static StoreVersion readVersion(MessageUnpacker unpacker) throws IOException {
+    return new StoreVersion(unpacker.unpackLong(), unpacker.unpackLong());
+  }
+
+  private static OperatorOrders read(MessageUnpacker unpacker) throws IOException {
+    StoreVersion version = readVersion(unpacker);
     int domainCount = unpacker.unpackArrayHeader();
     Set<FailureDomain> withdrawn = new HashSet<>();
     for (int i = 0; i < domainCount; i++) {
@@ -46,7 +68,7 @@
     for (int i = 0; i < moveCount; i++) {
       ServiceName service = new ServiceName(unpacker.unpackString());
       VersionName to = new VersionName(unpacker.unpackString());
-      long order = unpacker.unpackLong();
+      StoreVersion order = readVersion(unpacker);
       long duration = unpacker.unpackLong();
       MoveOrder.State state = MoveOrder.State.values()[unpacker.unpackInt()];
       moves.add(new MoveOrder(service, to, order, duration, state));
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/ReportCodec.java
@@ -6,6 +6,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -20,7 +21,9 @@
 
   static void write(MessageBufferPacker packer, NodeReport report) throws IOException {
     packer.packString(report.node().value());
-    packer.packLong(report.configurationVersion()).packLong(report.ordersVersion());
+    packer.packLong(report.configurationVersion());
+    OrdersCodec.writeVersion(packer, report.ordersVersion());
+    packer.packInt(report.carriedOrders());
     packer.packBoolean(report.leaving()).packBoolean(report.storeReachable());
     packer.packBoolean(report.upstream() != null);
     if (report.upstream() != null) {
@@ -36,7 +39,8 @@
     packer.packArrayHeader(report.moves().size());
     for (MoveShare move : report.moves()) {
       packer.packString(move.service().value()).packString(move.to().value());
-      packer.packLong(move.order()).packLong(move.step()).packInt(move.permille());
+      OrdersCodec.writeVersion(packer, move.order());
+      packer.packLong(move.step()).packInt(move.permille());
       packer.packLong(move.elapsedMillis()).packInt(move.state().ordinal());
       packer.packString(move.onlyUpstream().map(UpstreamId::value).orElse(""));
     }
@@ -45,7 +49,8 @@
   static NodeReport read(MessageUnpacker unpacker) throws IOException {
     NodeId node = new NodeId(unpacker.unpackString());
     long version = unpacker.unpackLong();
-    long ordersVersion = unpacker.unpackLong();
+    StoreVersion ordersVersion = OrdersCodec.readVersion(unpacker);
+    int carriedOrders = unpacker.unpackInt();
     boolean leaving = unpacker.unpackBoolean();
     boolean storeReachable = unpacker.unpackBoolean();
     UpstreamRecord record = unpacker.unpackBoolean() ? readRecord(unpacker) : null;
@@ -64,7 +69,7 @@
     for (int i = 0; i < movesSize; i++) {
       ServiceName service = new ServiceName(unpacker.unpackString());
       VersionName to = new VersionName(unpacker.unpackString());
-      long order = unpacker.unpackLong();
+      StoreVersion order = OrdersCodec.readVersion(unpacker);
       long step = unpacker.unpackLong();
       int permille = unpacker.unpackInt();
       long elapsedMillis = unpacker.unpackLong();
@@ -76,7 +81,16 @@
           new MoveShare(service, to, order, step, permille, onlyUpstream, elapsedMillis, state));
     }
     return new NodeReport(
-        node, version, ordersVersion, leaving, storeReachable, record, load, counts, moves);
+        node,
+        version,
+        ordersVersion,
+        carriedOrders,
+        leaving,
+        storeReachable,
+        record,
+        load,
+        counts,
+        moves);
   }
 
   static void writeLoad(MessageBufferPacker packer, UpstreamLoad load) throws IOException {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.retry.RetryBounds;
 import io.hemlockbend.core.traffic.CallerLimits;
 import io.hemlockbend.core.traffic.ColdAllowance;
@@ -141,7 +142,9 @@
 
     void orders(long number, Set<FailureDomain> withdrawn) {
       runOnLoop(
-          () -> node.updateOrders(new OperatorOrders(number, withdrawn, List.of(), Set.of())));
+          () ->
+              node.updateOrders(
+                  new OperatorOrders(new StoreVersion(1, number), withdrawn, List.of(), Set.of())));
     }
   }
 
@@ -273,6 +276,11 @@
       done.accept(true);
     }
 
+    @Override
+    public void restoreReported(long era) {
+      // Tests give the nodes their orders themselves.
+    }
+
     @Override
     public CompletableFuture<Void> saveUpstream(UpstreamRecord upstream) {
       // Tests restore records themselves.
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshNodeTest.java
@@ -227,7 +227,9 @@
     await()
         .atMost(WAIT)
         .until(() -> first.callOnLoop(() -> first.node.configuration().version()) == 9L);
-    await().atMost(WAIT).until(() -> first.callOnLoop(() -> first.node.orders().version()) == 5L);
+    await()
+        .atMost(WAIT)
+        .until(() -> first.callOnLoop(() -> first.node.orders().version()).number() == 5L);
   }
 
   /** Otherwise the node counts twice, and moves have no leader if its stale name sorts first. */
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MoveLeaderTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MoveLeaderTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.proxy.peer.MoveOrder;
 import io.hemlockbend.proxy.peer.NodeInfo;
 import io.hemlockbend.proxy.peer.OperatorOrders;
@@ -17,6 +18,7 @@
 
 class MoveLeaderTest {
   private static final VersionName V2 = new VersionName("v2");
+  private static final StoreVersion NUMBER = new StoreVersion(1, 3);
   private static final long DURATION_MILLIS = 6_000;
   private static final Duration WAIT = Duration.ofSeconds(30);
 
@@ -108,11 +110,11 @@
           () ->
               member.node.updateOrders(
                   new OperatorOrders(
-                      3, Set.of(), List.of(order(MoveOrder.State.RUNNING)), Set.of())));
+                      NUMBER, Set.of(), List.of(order(MoveOrder.State.RUNNING)), Set.of())));
     }
   }
 
   private static MoveOrder order(MoveOrder.State state) {
-    return new MoveOrder(MeshFixture.SERVICE, V2, 3, DURATION_MILLIS, state);
+    return new MoveOrder(MeshFixture.SERVICE, V2, NUMBER, DURATION_MILLIS, state);
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
@@ -5,6 +5,7 @@
 import io.hemlockbend.core.api.ServiceName;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.placement.VersionGroup;
 import io.hemlockbend.proxy.peer.MoveOrder;
 import io.hemlockbend.proxy.peer.MoveShare;
@@ -29,7 +30,8 @@
   void versionTakenBackStaysBlockedWhileTrafficMovesToThirdOne() {
     order(1, V2, 1, MoveOrder.State.RUNNING);
     versions.applyShare(
-        new MoveShare(SERVICE, V2, 1, 5, 0, Optional.empty(), 3_000, MoveOrder.State.ROLLED_BACK));
+        new MoveShare(
+            SERVICE, V2, version(1), 5, 0, Optional.empty(), 3_000, MoveOrder.State.ROLLED_BACK));
     order(2, V3, 2, MoveOrder.State.RUNNING);
     assertThat(versions.group(SERVICE, V1)).isEqualTo(VersionGroup.CURRENT);
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
@@ -40,12 +42,12 @@
   void restartedNodeRestoresVersionsTakenBackFromTheOrders() {
     versions.updateOrders(
         new OperatorOrders(
-            7,
+            version(7),
             Set.of(),
-            List.of(new MoveOrder(SERVICE, V3, 7, 1_000, MoveOrder.State.RUNNING)),
+            List.of(new MoveOrder(SERVICE, V3, version(7), 1_000, MoveOrder.State.RUNNING)),
             Set.of(new VersionKey(SERVICE, V2))));
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
-    versions.updateOrders(new OperatorOrders(8, Set.of(), List.of(), Set.of()));
+    versions.updateOrders(new OperatorOrders(version(8), Set.of(), List.of(), Set.of()));
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
   }
 
@@ -59,8 +61,12 @@
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.CURRENT);
   }
 
+  private static StoreVersion version(long number) {
+    return new StoreVersion(1, number);
+  }
+
   private void order(long version, VersionName to, long order, MoveOrder.State state) {
-    MoveOrder move = new MoveOrder(SERVICE, to, order, 16_000, state);
-    versions.updateOrders(new OperatorOrders(version, Set.of(), List.of(move), Set.of()));
+    MoveOrder move = new MoveOrder(SERVICE, to, version(order), 16_000, state);
+    versions.updateOrders(new OperatorOrders(version(version), Set.of(), List.of(move), Set.of()));
   }
 }
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/peer/NodeMessageCodecTest.java
@@ -11,6 +11,7 @@
 import io.hemlockbend.core.api.UpstreamId;
 import io.hemlockbend.core.api.VersionKey;
 import io.hemlockbend.core.api.VersionName;
+import io.hemlockbend.core.distribution.StoreVersion;
 import io.hemlockbend.core.message.PeerMessage.Suspicion;
 import io.hemlockbend.core.traffic.UpstreamRecord;
 import io.hemlockbend.proxy.http.HttpReply;
@@ -39,7 +40,8 @@
         new NodeReport(
             NODE.node(),
             7,
-            8,
+            new StoreVersion(2, 8),
+            3,
             false,
             true,
             record,
@@ -49,7 +51,7 @@
                 new MoveShare(
                     QUOTES,
                     V1,
-                    11,
+                    new StoreVersion(2, 11),
                     3,
                     50,
                     Optional.of(new UpstreamId("i-9")),
@@ -66,16 +68,21 @@
         new NodeMessage.Ping(123, report),
         new NodeMessage.CrashReports(
             List.of(new Suspicion(new RequestId("f"), List.of(new UpstreamId("i-1")), 600_000))),
-        new NodeMessage.Fetch(12, -1),
+        new NodeMessage.Fetch(12, StoreVersion.NONE, 2),
         new NodeMessage.Silence(NODE.node()),
         new NodeMessage.Ended(6, new RunEnd.NotRun("full"), LOAD),
         new NodeMessage.Ended(6, new RunEnd.Lost("reset"), LOAD),
         new NodeMessage.Orders(
             new OperatorOrders(
-                12,
+                new StoreVersion(3, 12),
                 Set.of(NODE.domain()),
-                List.of(new MoveOrder(QUOTES, V1, 11, 15_000, MoveOrder.State.COMPLETED)),
-                Set.of(new VersionKey(QUOTES, V1)))));
+                List.of(
+                    new MoveOrder(
+                        QUOTES, V1, new StoreVersion(3, 11), 15_000, MoveOrder.State.COMPLETED)),
+                Set.of(new VersionKey(QUOTES, V1))),
+            new OperatorOrders(
+                new StoreVersion(3, 12), Set.of(new FailureDomain("sfax")), List.of(), Set.of()),
+            4_500));
   }
 
   @ParameterizedTest
