Go on with a move whose order is written again after a restore

A version that had been taken back could get a second share, and a finished move could start anew: a move was identified by the version of its order's row, and the restored store gives the order another one. Followers and a leader that had read different eras did not agree on which move runs. The outcome that the system had written was lost and not written again, so the operator waited for it.

The move keeps its state, share, step and evidence under the new version, and the leader saves its status again. Nothing is saved for an order that the restored store does not show, and the result of a transaction that another era answered is not trusted: its conditions may have held for rows written under the same versions.

--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/LedMove.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/LedMove.java
@@ -5,7 +5,7 @@
 
 /** A traffic move that this node leads. */
 final class LedMove {
-  final MoveOrder order;
+  MoveOrder order;
   final MoveEvidence evidence;
   final MoveRamp ramp = new MoveRamp();
   long startMillis;
@@ -18,4 +18,10 @@
     this.evidence = new MoveEvidence(order.to());
     this.startMillis = startMillis;
   }
+
+  /** Goes on with the order as it was written again; what was saved for it may be lost. */
+  void continueAs(MoveOrder rewritten) {
+    order = rewritten;
+    startSaveRequested = false;
+  }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -225,10 +225,11 @@
 
   private void putOrdersInForce() {
     OperatorOrders orders = documents.orders();
-    versions.updateOrders(orders);
+    boolean restoredLately = documents.restoredLately(loop.millis());
+    versions.updateOrders(orders, restoredLately);
     entry.updateWithdrawn(orders.withdrawn());
     upstream.updateDomainWithdrawn(orders.withdrawn().contains(settings.self().domain()));
-    moveLeader.updateOrders(orders);
+    moveLeader.updateOrders(orders, restoredLately);
   }
 
   /**
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -52,7 +52,7 @@
   private final Map<ServiceName, LedMove> ledMoves = new HashMap<>();
   private final Set<StoreVersion> savedOrders = new HashSet<>();
   private final Map<ServiceName, Long> orderSeenMillis = new HashMap<>();
-  private final Map<ServiceName, StoreVersion> lastOrder = new HashMap<>();
+  private final Map<ServiceName, MoveOrder> lastOrder = new HashMap<>();
 
   MoveLeader(
       EventLoop loop,
@@ -71,11 +71,16 @@
     loop.every(TICK_MILLIS, this::tick);
   }
 
-  void updateOrders(OperatorOrders updated) {
+  void updateOrders(OperatorOrders updated, boolean restoredLately) {
     for (MoveOrder order : updated.moves()) {
-      StoreVersion known = lastOrder.put(order.service(), order.order());
-      if (!order.order().equals(known)) {
+      MoveOrder known = lastOrder.put(order.service(), order);
+      if (!order.continues(known, restoredLately)) {
         orderSeenMillis.put(order.service(), loop.millis());
+      } else if (!order.order().equals(known.order())) {
+        LedMove move = ledMoves.get(order.service());
+        if (move != null) {
+          move.continueAs(versions.order(order.service()));
+        }
       }
     }
   }
@@ -117,7 +122,7 @@
       move = begin(order);
       ledMoves.put(order.service(), move);
     }
-    if (!move.startSaveRequested) {
+    if (!move.startSaveRequested && mayBeSaved(order)) {
       move.startSaveRequested = true;
       durable.saveMove(order, saved -> {});
     }
@@ -275,25 +280,31 @@
 
   /** Saves a final state; {@link #tick} repeats this until the store has it. */
   private void save(LedMove move, MoveOrder.State state) {
-    if (move.saving) {
+    MoveOrder order = move.order;
+    if (move.saving || !mayBeSaved(order)) {
       return;
     }
     move.saving = true;
     durable.saveMove(
-        move.order.withState(state),
+        order.withState(state),
         saved -> {
           move.saving = false;
-          sink.emit("move-kept", null, "order", move.order, "state", state, "kept", saved);
+          sink.emit("move-kept", null, "order", order, "state", state, "kept", saved);
           if (saved && state == MoveOrder.State.COMPLETED) {
             publish(move.order, MoveRamp.FULL_SHARE_PERMILLE, Optional.empty(), 0, state);
           }
           if (saved) {
-            savedOrders.add(move.order.order());
+            savedOrders.add(order.order());
             ledMoves.remove(move.order.service());
           }
         });
   }
 
+  /** Returns whether the store shows an order since it was last restored. */
+  private boolean mayBeSaved(MoveOrder order) {
+    return order.order().era() == node.orders().version().era();
+  }
+
   /** Saves an outcome that this node or a previous leader has decided. */
   private void saveOutcome(MoveOrder order) {
     if (savedOrders.contains(order.order())) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
@@ -32,6 +32,8 @@
   /** The era whose lack of orders this node has filled itself, or has stopped to fill. */
   private long filledEra = -1;
 
+  private long restoreSeenMillis = Long.MIN_VALUE / 2;
+
   /**
    * Creates a node's documents, of which there are none yet.
    *
@@ -58,6 +60,11 @@
     return inForce;
   }
 
+  /** Returns whether the operator may still write orders again that a restore has lost. */
+  boolean restoredLately(long nowMillis) {
+    return nowMillis - restoreSeenMillis < CarriedOrders.KEEP_MILLIS;
+  }
+
   /** Returns how many orders in force the restored store lacks. */
   int carriedOrders() {
     return carried.size();
@@ -121,6 +128,7 @@
     if (!read.equals(OperatorOrders.NONE) && era > read.version().era()) {
       carried.begin(inForce, nowMillis);
       filledEra = era;
+      restoreSeenMillis = nowMillis;
     } else {
       recordReplaced(updated);
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -30,13 +30,25 @@
   private final Map<ServiceName, Integer> credit = new HashMap<>();
   private final Set<VersionKey> takenBack = new HashSet<>();
 
-  /** Replaces the operator's orders; a move never returns to an earlier state. */
-  public void updateOrders(OperatorOrders updated) {
+  /**
+   * Replaces the operator's orders; a move never returns to an earlier state, and goes on if its
+   * order is written again after the store was restored.
+   *
+   * @param updated the orders
+   * @param restoredLately whether orders may still be written again
+   */
+  public void updateOrders(OperatorOrders updated, boolean restoredLately) {
     Map<ServiceName, MoveOrder> before = new HashMap<>(orders);
     orders.clear();
     takenBack.addAll(updated.takenBack());
     for (MoveOrder move : updated.moves()) {
-      orders.put(move.service(), mostAdvanced(move, before.get(move.service())));
+      MoveOrder known = before.get(move.service());
+      if (move.continues(known, restoredLately)) {
+        orders.put(move.service(), mostAdvanced(move, known));
+        shares.computeIfPresent(move.service(), (service, share) -> share.withOrder(move.order()));
+      } else {
+        orders.put(move.service(), move);
+      }
       updateTakenBack(orders.get(move.service()));
     }
     shares.values().removeIf(share -> !appliesTo(share, orders.get(share.service())));
@@ -155,7 +167,8 @@
 
   /** Returns an order in its most advanced known state. */
   private static MoveOrder mostAdvanced(MoveOrder updated, MoveOrder known) {
-    boolean same = known != null && known.order().equals(updated.order());
-    return same && known.state().compareTo(updated.state()) > 0 ? known : updated;
+    return known.state().compareTo(updated.state()) > 0
+        ? updated.withState(known.state())
+        : updated;
   }
 }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveOrder.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveOrder.java
@@ -32,6 +32,21 @@
         && durationMillis == other.durationMillis;
   }
 
+  /**
+   * Returns whether this order is the one known before, possibly written again since the store was
+   * restored.
+   *
+   * @param known the order known before, or null
+   * @param restoredLately whether orders may still be written again
+   */
+  public boolean continues(MoveOrder known, boolean restoredLately) {
+    if (known == null) {
+      return false;
+    }
+    boolean rewritten = restoredLately || order.era() != known.order.era();
+    return order.equals(known.order) || rewritten && sameContent(known);
+  }
+
   /** Returns the same order in another state. */
   public MoveOrder withState(State other) {
     return new MoveOrder(service, to, order, durationMillis, other);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/peer/MoveShare.java
@@ -28,6 +28,12 @@
     Optional<UpstreamId> onlyUpstream,
     long elapsedMillis,
     MoveOrder.State state) {
+  /** Returns the same decision on the order as it was written again. */
+  public MoveShare withOrder(StoreVersion rewritten) {
+    return new MoveShare(
+        service, to, rewritten, step, permille, onlyUpstream, elapsedMillis, state);
+  }
+
   /** Returns whether this decision replaces another one on the same service. */
   public boolean newerThan(MoveShare other) {
     return order.equals(other.order) ? step > other.step : order.newerThan(other.order);
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/ServiceVersionsTest.java
@@ -45,9 +45,10 @@
             version(7),
             Set.of(),
             List.of(new MoveOrder(SERVICE, V3, version(7), 1_000, MoveOrder.State.RUNNING)),
-            Set.of(new VersionKey(SERVICE, V2))));
+            Set.of(new VersionKey(SERVICE, V2))),
+        false);
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
-    versions.updateOrders(new OperatorOrders(version(8), Set.of(), List.of(), Set.of()));
+    versions.updateOrders(new OperatorOrders(version(8), Set.of(), List.of(), Set.of()), false);
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
   }
 
@@ -61,12 +62,50 @@
     assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.CURRENT);
   }
 
+  /** The restored store has lost the outcome and gives the order another version. */
+  @Test
+  void finishedMoveDoesNotStartAnewWhenItsOrderIsWrittenAgain() {
+    order(1, V2, 1, MoveOrder.State.ROLLED_BACK);
+    orderAgain(2, 9, true);
+    assertThat(versions.order(SERVICE).state()).isEqualTo(MoveOrder.State.ROLLED_BACK);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
+    orderAgain(2, 12, true);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.BLOCKED);
+    orderAgain(2, 15, false);
+    assertThat(versions.group(SERVICE, V2)).isEqualTo(VersionGroup.FRESH);
+  }
+
+  @Test
+  void runningMoveKeepsItsShareWhenItsOrderIsWrittenAgain() {
+    order(5, V2, 5, MoveOrder.State.RUNNING);
+    share(version(5), 1, 300);
+    orderAgain(2, 3, true);
+    assertThat(versions.permille(SERVICE)).isEqualTo(300);
+    assertThat(share(version(5), 8, 1_000)).isFalse();
+    assertThat(share(new StoreVersion(2, 3), 2, 600)).isTrue();
+    assertThat(versions.permille(SERVICE)).isEqualTo(600);
+  }
+
+  private boolean share(StoreVersion order, long step, int permille) {
+    return versions.applyShare(
+        new MoveShare(
+            SERVICE, V2, order, step, permille, Optional.empty(), 900, MoveOrder.State.RUNNING));
+  }
+
+  private void orderAgain(long era, long number, boolean restoredLately) {
+    StoreVersion rewritten = new StoreVersion(era, number);
+    MoveOrder move = new MoveOrder(SERVICE, V2, rewritten, 16_000, MoveOrder.State.RUNNING);
+    versions.updateOrders(
+        new OperatorOrders(rewritten, Set.of(), List.of(move), Set.of()), restoredLately);
+  }
+
   private static StoreVersion version(long number) {
     return new StoreVersion(1, number);
   }
 
   private void order(long version, VersionName to, long order, MoveOrder.State state) {
     MoveOrder move = new MoveOrder(SERVICE, to, version(order), 16_000, state);
-    versions.updateOrders(new OperatorOrders(version(version), Set.of(), List.of(move), Set.of()));
+    versions.updateOrders(
+        new OperatorOrders(version(version), Set.of(), List.of(move), Set.of()), false);
   }
 }
