Write the nodes' records again that a restore of the store has lost

After a restore nobody wrote again what the nodes keep for those that start later: the addresses of nodes, the upstreams beside them and that they leave, and the versions that were taken back. A node that restarted then could use an upstream that had left, or a version found bad could get traffic again.

A node whose upstream leaves writes that again itself, also when no leader hears it.

--- a/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
+++ b/hemlockbend-core/src/main/java/io/hemlockbend/core/traffic/UpstreamRecord.java
@@ -69,6 +69,18 @@
         id, startedMillis, service, version, domain, address, slots, true, coldMillis, sequence);
   }
 
+  /**
+   * Returns whether a stored record tells a restarted node less than this one: it is that of an
+   * earlier process, or does not say that this process leaves. Later announcements need not be
+   * stored.
+   */
+  public boolean saysMoreThan(UpstreamRecord stored) {
+    if (process().equals(stored.process())) {
+      return draining && !stored.draining;
+    }
+    return startedMillis >= stored.startedMillis;
+  }
+
   /** Returns whether this record supersedes another one for the same address. */
   public boolean newerThan(UpstreamRecord other) {
     if (startedMillis != other.startedMillis) {
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/DurableState.java
@@ -23,6 +23,14 @@
    */
   void restoreReported(long era);
 
+  /**
+   * Writes records again that the store lacks since it was restored.
+   *
+   * @param known the records that it should have
+   * @param done called with whether the store has them all
+   */
+  void repair(StoredRecords known, Consumer<Boolean> done);
+
   /**
    * Saves the first announcement of an upstream process beside this node, so that a restarted node
    * need not wait for the next one, and later that it leaves, so that a restarted node does not use
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MeshNode.java
@@ -48,6 +48,7 @@
   private final BodyMemory bodies = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
   private final MoveLeader moveLeader;
   private final CatchUp catchUp;
+  private final RecordRepair repair;
   private boolean peersLoaded;
   private boolean storeReachable;
   private boolean leaving;
@@ -98,6 +99,7 @@
             sink);
     this.catchUp = new CatchUp(loop, mesh, this);
     this.moveLeader = new MoveLeader(loop, mesh, this, versions, durable, sink);
+    this.repair = new RecordRepair(loop, this, versions, durable, moveLeader::isLeader, sink);
   }
 
   /** Starts listening for callers and for other nodes. */
@@ -230,6 +232,10 @@
     entry.updateWithdrawn(orders.withdrawn());
     upstream.updateDomainWithdrawn(orders.withdrawn().contains(settings.self().domain()));
     moveLeader.updateOrders(orders, restoredLately);
+    if (documents.pollRestored()) {
+      repair.restored();
+      upstream.saveAgainIfLeaving();
+    }
   }
 
   /**
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/MoveLeader.java
@@ -102,7 +102,8 @@
     }
   }
 
-  private boolean isLeader() {
+  /** Returns whether this node leads. */
+  boolean isLeader() {
     boolean joining = loop.millis() - startMillis < JOINING_MILLIS;
     if (joining || !node.storeReachable() || node.leaving()) {
       return false;
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/NodeDocuments.java
@@ -32,6 +32,7 @@
   /** The era whose lack of orders this node has filled itself, or has stopped to fill. */
   private long filledEra = -1;
 
+  private boolean restored;
   private long restoreSeenMillis = Long.MIN_VALUE / 2;
 
   /**
@@ -60,6 +61,13 @@
     return inForce;
   }
 
+  /** Returns whether orders of a restored store were applied since the last call. */
+  boolean pollRestored() {
+    boolean since = restored;
+    restored = false;
+    return since;
+  }
+
   /** Returns whether the operator may still write orders again that a restore has lost. */
   boolean restoredLately(long nowMillis) {
     return nowMillis - restoreSeenMillis < CarriedOrders.KEEP_MILLIS;
@@ -129,6 +137,7 @@
       carried.begin(inForce, nowMillis);
       filledEra = era;
       restoreSeenMillis = nowMillis;
+      restored = true;
     } else {
       recordReplaced(updated);
     }
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/mesh/ServiceVersions.java
@@ -92,6 +92,11 @@
     firstSeen.putIfAbsent(service, version);
   }
 
+  /** Returns the versions that moves found bad. */
+  public Set<VersionKey> takenBack() {
+    return takenBack;
+  }
+
   /** Returns whether any move is running. */
   public boolean anyMoveRunning() {
     return orders.values().stream().anyMatch(order -> order.state() == MoveOrder.State.RUNNING);
--- a/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
+++ b/hemlockbend-proxy/src/main/java/io/hemlockbend/proxy/upstream/LocalUpstream.java
@@ -187,6 +187,13 @@
     return saver.saved();
   }
 
+  /** Saves again that the upstream leaves, if it does: what was stored may be lost. */
+  public void saveAgainIfLeaving() {
+    if (record != null && record.draining()) {
+      saver.save(record);
+    }
+  }
+
   /** Deregisters the current process of the upstream, unless the id is that of another one. */
   public void deregister(UpstreamId id) {
     if (record != null && record.id().equals(id)) {
--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/MeshFixture.java
@@ -276,6 +276,11 @@
       done.accept(true);
     }
 
+    @Override
+    public void repair(StoredRecords known, Consumer<Boolean> done) {
+      done.accept(true);
+    }
+
     @Override
     public void restoreReported(long era) {
       // Tests give the nodes their orders themselves.
