--- a/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/RestoreInterleavingsTest.java
+++ b/hemlockbend-proxy/src/test/java/io/hemlockbend/proxy/mesh/RestoreInterleavingsTest.java
@@ -76,6 +76,7 @@
         case SECOND_READS -> read(second);
         case SEND -> send();
         case ARRIVE -> arrive();
+        default -> throw new IllegalStateException("unknown step " + step);
       }
     }
 
