Accept a version again that the product's table has lost in a restore

On the product's own path, nodes kept an accepted version in force that the restored table did not have. Every commit was refused then, since its base was newer than the table's current version; a commit by a process that knew nothing of it would have reused the version for other content, which the nodes reject as a conflict.

A node that reads a current version older than the one that it has in force puts that configuration and the row again, on condition that the row is as read. Nodes have only accepted versions in force, so the table has lost it, or the answer was late and the condition fails. Reads of the two readers of each failure domain do so, and so does each commit before it is planned.

RestoredTableTest fails without the rewrite: the table stays at version 1, and the commit is refused with BASE_TOO_OLD, base 2, current 1.

--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/Node.java
@@ -124,7 +124,9 @@
     control = control(quarantine);
     events.bind(control);
     peers.binding().bind(control);
-    commits = new CommitRunner(planner(), table, store, control::accepted);
+    commits =
+        new CommitRunner(
+            planner(), table, store, control::accepted, () -> control.snapshot().accepted());
     control.add(rollout(inbox));
     NodeMeters.register(registry, peers.counters(), control, admission);
     handler = handler(forwarder);
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/commit/CommitRunner.java
@@ -8,6 +8,7 @@
 import io.hemlockbend.core.acceptance.CommitRetryPolicy;
 import io.hemlockbend.core.acceptance.CommitStateMachine;
 import io.hemlockbend.core.acceptance.CommitStep;
+import io.hemlockbend.core.table.Row;
 import io.hemlockbend.core.table.RowKey;
 import io.hemlockbend.core.table.RowValue;
 import io.hemlockbend.platform.ObjectStore;
@@ -19,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Executes the steps of commits against the platform until their outcomes are known. Each commit
@@ -32,6 +34,7 @@
   private final TableService table;
   private final ObjectStore store;
   private final AcceptanceListener listener;
+  private final CurrentRowReader current;
 
   /**
    * Creates a runner.
@@ -43,10 +46,29 @@
    */
   public CommitRunner(
       CommitPlanner planner, TableService table, ObjectStore store, AcceptanceListener listener) {
+    this(planner, table, store, listener, () -> CurrentRowReader.InForce.NONE);
+  }
+
+  /**
+   * Creates a runner of a node.
+   *
+   * @param planner plans the transactions of commits
+   * @param table the platform's table
+   * @param store the platform's object store
+   * @param listener is notified of accepted configurations
+   * @param inForce returns the configuration in force at the node; called on any thread
+   */
+  public CommitRunner(
+      CommitPlanner planner,
+      TableService table,
+      ObjectStore store,
+      AcceptanceListener listener,
+      Supplier<CurrentRowReader.InForce> inForce) {
     this.planner = planner;
     this.table = table;
     this.store = store;
     this.listener = listener;
+    this.current = new CurrentRowReader(table, store, inForce);
   }
 
   /**
@@ -79,7 +101,7 @@
 
   private CompletableFuture<CommitEvent> execute(CommitStep step) {
     return switch (step) {
-      case CommitStep.ReadRow read -> table.read(read.key()).thenApply(CommitEvent.RowRead::new);
+      case CommitStep.ReadRow read -> readRow(read.key()).thenApply(CommitEvent.RowRead::new);
       case CommitStep.ReadHistory range ->
           readHistory(range).thenApply(CommitEvent.HistoryRead::new);
       case CommitStep.FetchBody fetch ->
@@ -94,6 +116,10 @@
     };
   }
 
+  private CompletableFuture<Optional<Row>> readRow(RowKey key) {
+    return key.equals(RowKey.CURRENT) ? current.read() : table.read(key);
+  }
+
   private CompletableFuture<List<RowValue.History>> readHistory(CommitStep.ReadHistory range) {
     int count = Math.toIntExact(range.last().value() - range.after().value() + EXTRA_HISTORY_ROWS);
     return table
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/ControlLoop.java
@@ -80,8 +80,7 @@
     this.clock = clock;
     this.laggingPings = new LaggingPings(state.membership);
     this.reads =
-        new PlatformReads(
-            components.table(), components.store(), state, thread, clock, this::carryOut);
+        new PlatformReads(components, () -> snapshot.accepted(), thread, clock, this::carryOut);
   }
 
   /** Adds a task; allowed only before the loop starts. */
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/MeshSnapshot.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/MeshSnapshot.java
@@ -3,6 +3,7 @@
 import io.hemlockbend.core.api.Member;
 import io.hemlockbend.core.message.PeerMessage.VersionMark;
 import io.hemlockbend.core.model.Configuration;
+import io.hemlockbend.node.commit.CurrentRowReader;
 import java.util.List;
 
 /**
@@ -16,4 +17,9 @@
   /** The snapshot of a node that has just started. */
   public static final MeshSnapshot NONE =
       new MeshSnapshot(VersionMark.NONE, Configuration.EMPTY, List.of());
+
+  /** Returns the configuration in force, as the table must show it. */
+  public CurrentRowReader.InForce accepted() {
+    return new CurrentRowReader.InForce(inForce, configuration);
+  }
 }
--- a/hemlockbend-node/src/main/java/io/hemlockbend/node/control/PlatformReads.java
+++ b/hemlockbend-node/src/main/java/io/hemlockbend/node/control/PlatformReads.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.table.Row;
 import io.hemlockbend.core.table.RowKey;
 import io.hemlockbend.core.table.RowValue;
+import io.hemlockbend.node.commit.CurrentRowReader;
 import io.hemlockbend.platform.ObjectStore;
 import io.hemlockbend.platform.TableService;
 import java.util.ArrayList;
@@ -15,11 +16,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Executes the distributor's reads of the platform and passes the results back to it. */
 final class PlatformReads {
   private final TableService table;
   private final ObjectStore store;
+  private final CurrentRowReader current;
   private final ControlState state;
   private final Executor control;
   private final Clock clock;
@@ -28,31 +31,30 @@
   /**
    * Creates the reads.
    *
-   * @param table the platform's table
-   * @param store the platform's object store
-   * @param state receives the results
+   * @param components the platform, and the state that receives the results
+   * @param inForce returns the configuration in force; called on any thread
    * @param control executes tasks on the control thread
    * @param clock the time source
    * @param effects carries out the effects that the distributor returns
    */
   PlatformReads(
-      TableService table,
-      ObjectStore store,
-      ControlState state,
+      ControlComponents components,
+      Supplier<CurrentRowReader.InForce> inForce,
       Executor control,
       Clock clock,
       Consumer<List<DistributionEffect>> effects) {
-    this.table = table;
-    this.store = store;
-    this.state = state;
+    this.table = components.table();
+    this.store = components.store();
+    this.current = new CurrentRowReader(table, store, inForce);
+    this.state = components.state();
     this.control = control;
     this.clock = clock;
     this.effects = effects;
   }
 
   void readCurrent() {
-    table
-        .read(RowKey.CURRENT)
+    current
+        .read()
         .whenCompleteAsync(
             (row, failure) ->
                 effects.accept(
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/MeshOperator.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/mesh/MeshOperator.java
@@ -52,7 +52,8 @@
                 ConfigurationChecker.forAcceptance(), new JsonDigester(new JsonCodec())),
             new HttpTableService(client, settings),
             new HttpObjectStore(client, settings),
-            (mark, configuration, changes) -> {});
+            (mark, configuration, changes) -> {},
+            () -> mesh.members().getFirst().node().snapshot().accepted());
   }
 
   /**
--- a/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/platform/InMemoryTable.java
+++ b/hemlockbend-testkit/src/main/java/io/hemlockbend/testkit/platform/InMemoryTable.java
@@ -7,6 +7,7 @@
 import io.hemlockbend.core.table.Transaction;
 import io.hemlockbend.core.table.TransactionOutcome;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -16,6 +17,14 @@
  * Thread-safe; each call is atomic.
  */
 public final class InMemoryTable {
+  /**
+   * The content of a table at one time.
+   *
+   * @param rows its rows
+   * @param writes the number of writes until then, from which revisions are taken
+   */
+  public record Copy(Map<RowKey, Row> rows, long writes) {}
+
   private final TreeMap<RowKey, Row> rows = new TreeMap<>();
   private long reads;
   private long transactions;
@@ -45,6 +54,18 @@
     return found.subList(Math.max(0, found.size() - limit), found.size());
   }
 
+  /** Returns a copy from which the table can be restored. */
+  public synchronized Copy copy() {
+    return new Copy(Map.copyOf(rows), writes);
+  }
+
+  /** Restores a copy: what was written after it is lost, and revisions are given out again. */
+  public synchronized void restore(Copy copy) {
+    rows.clear();
+    rows.putAll(copy.rows);
+    writes = copy.writes;
+  }
+
   /** Applies all writes of a transaction when all its conditions hold, else none. */
   public synchronized TransactionOutcome transact(Transaction transaction) {
     transactions++;
